--- /dev/null
+++ b/internal/allowance/bank.go
@@ -0,0 +1,165 @@
+package allowance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+const (
+	// holdTime is the spending, as time, that a bank keeps in stock.
+	holdTime = 500 * time.Millisecond
+	// rateMemory is the time constant of the measured spending.
+	rateMemory = 2 * time.Second
+	// stockOfRate bounds the stock of a bank, in seconds of the workspace's rate.
+	stockOfRate = 0.12
+	// leastStock is the stock for requests that come out of the blue, as a
+	// part of a second of the workspace's rate.
+	leastStock = 0.02
+)
+
+type account struct {
+	balance  float64
+	pending  float64 // of requests that wait for a grant
+	rate     float64 // spending in units per second
+	rateAt   time.Duration
+	share    float64
+	shareAt  time.Duration // end of the last exchange
+	shareOn  bool          // living on the share
+	accrued  time.Duration // up to when the share is paid out
+	shortage bool          // the coordinator said: exhausted
+}
+
+// Bank is a host's stock of granted amounts. It is safe for concurrent use.
+type Bank struct {
+	mu       sync.Mutex
+	accounts map[string]*account
+	changed  chan struct{}
+}
+
+// NewBank returns an empty bank.
+func NewBank() *Bank {
+	return &Bank{accounts: map[string]*account{}, changed: make(chan struct{})}
+}
+
+// Outcome says what Take did.
+type Outcome uint8
+
+// Outcomes of Take.
+const (
+	Taken     Outcome = iota
+	Short             // a grant may come with the next exchange
+	Exhausted         // the workspace is over its allowance
+)
+
+// Take spends an amount if the bank has it.
+func (b *Bank) Take(now time.Duration, w *catalog.Workspace, cost float64) Outcome {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(w.Name, now)
+	b.payShare(a, w, now)
+	if a.balance < cost {
+		if a.shortage || a.shareOn {
+			return Exhausted
+		}
+		return Short
+	}
+	a.balance -= cost
+	a.decay(now)
+	a.rate += cost / rateMemory.Seconds()
+	return Taken
+}
+
+// Wait registers an amount that a request waits for. The returned function
+// takes it back; the channel is closed at the next exchange.
+func (b *Bank) Wait(now time.Duration, w *catalog.Workspace, cost float64) (changed <-chan struct{}, done func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(w.Name, now)
+	a.pending += cost
+	return b.changed, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		a.pending = max(0, a.pending-cost)
+	}
+}
+
+// Refund gives back the amount of a request that did not run.
+func (b *Bank) Refund(now time.Duration, w *catalog.Workspace, cost float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(w.Name, now).balance += cost
+}
+
+// Needs returns what to ask for and what to give back, and settles the
+// latter. It is called right before an exchange.
+func (b *Bank) Needs(now time.Duration, workspaces map[string]*catalog.Workspace) map[string]Need {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	needs := map[string]Need{}
+	for _, w := range workspaces {
+		if !w.Limited() {
+			continue
+		}
+		a := b.account(w.Name, now)
+		a.decay(now)
+		target := min(max(a.rate*holdTime.Seconds(), w.PerS*leastStock), w.PerS*stockOfRate) + a.pending
+		var need Need
+		switch {
+		case a.balance < target:
+			need.Want = target - a.balance
+		case a.balance > 2*target:
+			need.Returned = a.balance - target
+			a.balance = target
+		}
+		needs[w.Name] = need
+	}
+	return needs
+}
+
+// Apply takes over the grants of an exchange.
+func (b *Bank) Apply(now time.Duration, grants map[string]Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, grant := range grants {
+		a := b.account(name, now)
+		a.balance += grant.Amount
+		a.share, a.shareAt, a.shareOn = grant.Share, now, false
+		a.shortage = grant.Exhausted
+	}
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// payShare credits the share while the coordinator is silent.
+func (b *Bank) payShare(a *account, w *catalog.Workspace, now time.Duration) {
+	silent := now - a.shareAt
+	if a.share == 0 || silent < SilentAfter {
+		return
+	}
+	if !a.shareOn {
+		a.shareOn, a.shortage = true, false
+		a.accrued = now
+	}
+	until := min(now, a.shareAt+ShareValid)
+	if until > a.accrued {
+		a.balance = min(a.balance+min(a.share, w.PerS)*(until-a.accrued).Seconds(), max(a.balance, w.PerS*stockOfRate+a.share))
+		a.accrued = until
+	}
+}
+
+func (b *Bank) account(name string, now time.Duration) *account {
+	a := b.accounts[name]
+	if a == nil {
+		a = &account{rateAt: now}
+		b.accounts[name] = a
+	}
+	return a
+}
+
+func (a *account) decay(now time.Duration) {
+	passed := (now - a.rateAt).Seconds()
+	a.rateAt = now
+	a.rate *= max(0, 1-passed/rateMemory.Seconds())
+}
--- /dev/null
+++ b/internal/allowance/ledger.go
@@ -0,0 +1,150 @@
+// Package allowance divides the allowance of each workspace among the hosts.
+// The coordinator's Ledger refills one bucket for each workspace and grants
+// from it; each host spends from its Bank. A host that does not reach the
+// coordinator lives on a fixed share, which the ledger keeps back while the
+// host is silent. All decisions take the time as an argument.
+package allowance
+
+import (
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+const (
+	// SilentAfter is when a host without an exchange lives on its share.
+	SilentAfter = 900 * time.Millisecond
+	// ShareValid is how long a host may live on its share.
+	ShareValid = 15 * time.Second
+	// wantMemory is how long a host's last want counts for the division.
+	wantMemory = 600 * time.Millisecond
+	// burstSeconds bounds the bucket, in seconds of the rate, whatever the
+	// burst: hosts hold granted amounts beside it.
+	burstSeconds = 1.0
+	// exhaustedSeconds is the level, in seconds of the rate, below which a
+	// bucket that can't meet all wants counts as exhausted.
+	exhaustedSeconds = 0.05
+)
+
+// Need is a host's side of an exchange, for one workspace.
+type Need struct {
+	Want     float64 `json:"want,omitempty"`
+	Returned float64 `json:"returned,omitempty"`
+}
+
+// Grant is the coordinator's side of an exchange, for one workspace.
+type Grant struct {
+	Amount float64 `json:"amount"`
+	// Share is the rate on which the host may live without the coordinator,
+	// for at most ShareValid.
+	Share float64 `json:"share"`
+	// Exhausted says that the workspace asks for more than it has.
+	Exhausted bool `json:"exhausted,omitempty"`
+}
+
+type bucket struct {
+	level float64
+	at    time.Duration
+	wants map[string]want
+}
+
+type want struct {
+	amount float64
+	at     time.Duration
+}
+
+// Ledger is the coordinator's account. It is used by one goroutine at a time.
+type Ledger struct {
+	buckets map[string]*bucket
+	heard   map[string]time.Duration // by host
+	started time.Duration
+	full    bool
+}
+
+// NewLedger returns a ledger that starts at a time. With full set the buckets
+// start full: no other coordinator has granted from them. Hosts are those that
+// an earlier coordinator gave shares to.
+func NewLedger(now time.Duration, full bool, hosts []string) *Ledger {
+	l := &Ledger{buckets: map[string]*bucket{}, heard: map[string]time.Duration{}, started: now, full: full}
+	for _, host := range hosts {
+		l.heard[host] = now - SilentAfter
+	}
+	return l
+}
+
+// Hear notes that a host is in contact.
+func (l *Ledger) Hear(now time.Duration, host string) { l.heard[host] = now }
+
+// Hosts returns the hosts that may live on a share.
+func (l *Ledger) Hosts() []string {
+	hosts := make([]string, 0, len(l.heard))
+	for host := range l.heard {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// Forget drops hosts whose shares have ended.
+func (l *Ledger) Forget(now time.Duration) {
+	for host, at := range l.heard {
+		if now-at > ShareValid+SilentAfter {
+			delete(l.heard, host)
+		}
+	}
+}
+
+// reachable returns the part of the rate that is not kept back for silent hosts.
+func (l *Ledger) reachable(now time.Duration) float64 {
+	if len(l.heard) == 0 {
+		return 1
+	}
+	silent := 0
+	for _, at := range l.heard {
+		if now-at >= SilentAfter {
+			silent++
+		}
+	}
+	return 1 - float64(silent)/float64(len(l.heard))
+}
+
+// Exchange settles a host's need.
+func (l *Ledger) Exchange(now time.Duration, host string, w *catalog.Workspace, need Need) Grant {
+	b := l.bucket(now, w)
+	most := min(w.Burst, w.PerS*burstSeconds)
+	b.level = min(most, b.level+w.PerS*l.reachable(now)*(now-b.at).Seconds()+need.Returned)
+	b.at = now
+	b.wants[host] = want{amount: need.Want, at: now}
+	total := 0.0
+	for name, other := range b.wants {
+		if now-other.at > wantMemory {
+			delete(b.wants, name)
+			continue
+		}
+		total += other.amount
+	}
+	amount := need.Want
+	short := total > b.level
+	if short && total > 0 {
+		amount = min(amount, b.level*need.Want/total)
+	}
+	amount = max(0, min(amount, b.level))
+	b.level -= amount
+	return Grant{
+		Amount: amount, Share: w.PerS / float64(max(1, len(l.heard))),
+		Exhausted: short && b.level < w.PerS*exhaustedSeconds,
+	}
+}
+
+func (l *Ledger) bucket(now time.Duration, w *catalog.Workspace) *bucket {
+	b := l.buckets[w.Name]
+	if b != nil {
+		return b
+	}
+	b = &bucket{at: l.started, wants: map[string]want{}}
+	if l.full {
+		b.level = min(w.Burst, w.PerS*burstSeconds)
+		b.at = now
+	}
+	l.buckets[w.Name] = b
+	return b
+}
--- /dev/null
+++ b/internal/catalog/upstream.go
@@ -0,0 +1,35 @@
+package catalog
+
+import "time"
+
+// Upstream is one incarnation of a process that serves requests, as it
+// describes itself.
+type Upstream struct {
+	ID         string
+	Service    string
+	Address    string // IP:port
+	DataCenter string
+	Slots      int
+	Leaving    bool
+	// LeavesIn is the time until a leaving upstream is gone; 0: not announced.
+	LeavesIn time.Duration
+	Born     int64 // start, in Unix milliseconds; tells incarnations of one ID apart
+	Holdings Holdings
+}
+
+// Holdings is what an engine holds, as of an order count.
+type Holdings struct {
+	OrderSeq int64 // orders accepted since the start
+	Busy     bool  // an order is in progress; known from reports only
+	// Models maps a model to the adapters that are loaded for it.
+	Models   map[string][]string
+	Pending  []string // adapters in transit, as MODEL/ADAPTER
+	InMemory []string // copies of weights that load fastest
+	OnDisk   []string
+}
+
+// Holds reports whether the model is loaded.
+func (h *Holdings) Holds(model string) bool {
+	_, ok := h.Models[model]
+	return ok
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,340 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/arbutusbank/arbutusbank/internal/allowance"
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+)
+
+const (
+	// planEvery is the period of planning.
+	planEvery = 60 * time.Millisecond
+	// swapTime is the time, beside the load itself, until a model that is to
+	// replace another one can serve.
+	swapTime = 700 * time.Millisecond
+	// rateWindow is the window of the weight store's rate.
+	rateWindow = 5 * time.Second
+	// estimateLimit is the longest time for which a load in the queue of the
+	// weight store is announced.
+	estimateLimit = 30 * time.Second
+)
+
+// Lease tells whether this host may give orders.
+type Lease interface {
+	Held() bool
+	// MayOrder returns the fencing number if an order may be given that
+	// arrives within the time.
+	MayOrder(arrival time.Duration) (fence int64, ok bool)
+}
+
+// Knowledge is what the host follows of the deployment.
+type Knowledge interface {
+	Config() *catalog.Config // nil: none yet
+	Upstreams() []*catalog.Upstream
+}
+
+// Coordinator does the coordinator's work while this host holds the lease. It
+// is safe for concurrent use.
+type Coordinator struct {
+	host      string
+	lease     Lease
+	knowledge Knowledge
+	engines   Engines
+	log       logr.Logger
+
+	mu          sync.Mutex
+	ledger      *allowance.Ledger
+	demand      *demandBook
+	fleet       map[string]*engineState // by upstream ID
+	view        View
+	viewDirty   bool
+	storeStarts []time.Duration
+	estimates   []Estimate
+	actions     sync.WaitGroup
+}
+
+// New returns a coordinator that is idle until Take.
+func New(host string, lease Lease, knowledge Knowledge, engines Engines, log logr.Logger) *Coordinator {
+	c := &Coordinator{host: host, lease: lease, knowledge: knowledge, engines: engines, log: log}
+	c.reset(true, nil)
+	return c
+}
+
+// Take begins a term. First says that there was no coordinator before; hosts
+// are those that the last one gave shares to.
+func (c *Coordinator) Take(first bool, hosts []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset(first, hosts)
+}
+
+func (c *Coordinator) reset(first bool, hosts []string) {
+	c.ledger = allowance.NewLedger(clock.SinceBoot(), first, hosts)
+	c.demand = newDemandBook()
+	c.fleet = map[string]*engineState{}
+	c.viewDirty = true
+	c.estimates = nil
+}
+
+// Hosts returns the hosts that may live on shares.
+func (c *Coordinator) Hosts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Hosts()
+}
+
+// Exchange answers a host.
+func (c *Coordinator) Exchange(epoch int64, request *ExchangeRequest) *ExchangeReply {
+	if !c.lease.Held() {
+		return &ExchangeReply{}
+	}
+	now := clock.SinceBoot()
+	config := c.knowledge.Config()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Hear(now, request.Host)
+	c.demand.note(now, request)
+	reply := &ExchangeReply{Holder: true, Epoch: epoch, Hosts: len(c.ledger.Hosts())}
+	if config != nil {
+		reply.Grants = c.grants(now, config, request)
+	}
+	c.refreshView()
+	if request.Epoch != epoch || request.ViewVersion != c.view.Version {
+		view := c.view
+		reply.View = &view
+	}
+	reply.Estimates = c.estimatesFor(request)
+	reply.Running = c.othersRunning(request.Host)
+	return reply
+}
+
+func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
+	grants := map[string]allowance.Grant{}
+	for name, need := range request.Needs {
+		workspace := config.Workspaces[name]
+		if workspace == nil || !workspace.Limited() {
+			continue
+		}
+		grants[name] = c.ledger.Exchange(now, request.Host, workspace, need)
+	}
+	return grants
+}
+
+func (c *Coordinator) othersRunning(host string) []RunningCount {
+	var counts []RunningCount
+	for upstream, models := range c.demand.running(host) {
+		total := 0
+		for _, count := range models {
+			total += count
+		}
+		counts = append(counts, RunningCount{Upstream: upstream, Count: total})
+	}
+	return counts
+}
+
+func (c *Coordinator) refreshView() {
+	if !c.viewDirty {
+		return
+	}
+	c.viewDirty = false
+	engines := make([]EngineView, 0, len(c.fleet))
+	for _, id := range slices.Sorted(maps.Keys(c.fleet)) {
+		engines = append(engines, c.fleet[id].view())
+	}
+	c.view = View{Version: c.view.Version + 1, Engines: engines}
+}
+
+func (c *Coordinator) estimatesFor(request *ExchangeRequest) []Estimate {
+	var wanted []Estimate
+	for _, estimate := range c.estimates {
+		for _, d := range request.Demand {
+			if d.ModelKey == estimate.ModelKey {
+				wanted = append(wanted, estimate)
+			}
+		}
+	}
+	return wanted
+}
+
+// Run plans and gives orders while this host holds the lease.
+func (c *Coordinator) Run(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	defer c.actions.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if c.lease.Held() {
+			c.tick(ctx)
+		}
+	}
+}
+
+func (c *Coordinator) tick(ctx context.Context) {
+	config := c.knowledge.Config()
+	if config == nil {
+		return
+	}
+	now := clock.SinceBoot()
+	upstreams := c.knowledge.Upstreams()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Forget(now)
+	c.demand.forget(now)
+	c.observe(now, upstreams, config)
+	c.estimates = c.estimates[:0]
+	for _, service := range config.Services {
+		if service.Engine != nil {
+			c.planService(ctx, now, service)
+		}
+	}
+}
+
+// observe takes over the entries of the engines.
+func (c *Coordinator) observe(now time.Duration, upstreams []*catalog.Upstream, config *catalog.Config) {
+	present := map[string]bool{}
+	for _, upstream := range upstreams {
+		service := config.Services[upstream.Service]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		present[upstream.ID] = true
+		engine := c.fleet[upstream.ID]
+		if engine == nil || engine.upstream.Born != upstream.Born {
+			c.fleet[upstream.ID] = newEngineState(upstream)
+			c.viewDirty = true
+			continue
+		}
+		if engine.upstream != upstream {
+			engine.upstream = upstream
+			engine.learn(mergeCopies(upstream.Holdings, engine.holdings))
+			c.viewDirty = true
+		}
+	}
+	for id := range c.fleet {
+		if !present[id] {
+			delete(c.fleet, id)
+			c.viewDirty = true
+		}
+	}
+}
+
+// mergeCopies keeps adapters of the same order count: entries do not always
+// name the ones that were loaded last.
+func mergeCopies(entry, known catalog.Holdings) catalog.Holdings {
+	if entry.OrderSeq == known.OrderSeq {
+		entry.Models = known.Models
+		entry.Pending = known.Pending
+	}
+	return entry
+}
+
+func (c *Coordinator) planService(ctx context.Context, now time.Duration, service *catalog.Service) {
+	state := State{
+		Now: now, Service: service, Demand: c.demand.of(now, service.Name),
+		StoreStarts: c.storeAllowance(now, service.Engine), Prefetch: true,
+	}
+	running := c.demand.running("")
+	for _, engine := range c.fleet {
+		if engine.upstream.Service == service.Name {
+			state.Engines = append(state.Engines, engine.planned(now, running[engine.upstream.ID]))
+		}
+	}
+	if _, ok := c.lease.MayOrder(orderArrival); ok {
+		for _, action := range Plan(state) {
+			c.begin(ctx, now, service, action)
+		}
+	}
+	c.estimate(now, service, state)
+}
+
+// storeAllowance returns how many loads from the weight store may begin now.
+func (c *Coordinator) storeAllowance(now time.Duration, engine *catalog.Engine) int {
+	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(at time.Duration) bool { return now-at > rateWindow })
+	return int(engine.LoadsPerS*rateWindow.Seconds()) - len(c.storeStarts)
+}
+
+func (c *Coordinator) begin(ctx context.Context, now time.Duration, service *catalog.Service, action Action) {
+	engine := c.fleet[action.Engine]
+	engine.occupied = true
+	engine.loading = &action
+	engine.readyAt = now + action.Takes + swapTime
+	c.viewDirty = true
+	if action.Source == FromStore {
+		c.storeStarts = append(c.storeStarts, now)
+	}
+	c.log.Info("Placement decided.", "service", service.Name, "upstream", action.Engine, "load", action.Load,
+		"unload", action.Unload, "source", action.Source.String(), "reason", action.Reason, "order_seq", engine.holdings.OrderSeq)
+	c.actions.Add(1)
+	go func() {
+		defer c.actions.Done()
+		c.carryOut(ctx, engine, &action)
+	}()
+}
+
+// estimate says when the models that requests wait for will be ready.
+func (c *Coordinator) estimate(now time.Duration, service *catalog.Service, state State) {
+	var queued []string
+	for model, demand := range state.Demand {
+		if demand.Waiting == 0 {
+			continue
+		}
+		readyIn, known := c.readyIn(now, service.Name, model)
+		if known {
+			c.announce(service.Name, model, readyIn)
+			continue
+		}
+		if c.copyExists(service.Name, model) {
+			c.announce(service.Name, model, service.Engine.Models[model].LoadDisk+swapTime)
+			continue
+		}
+		queued = append(queued, model)
+	}
+	slices.SortFunc(queued, func(a, b string) int {
+		return int(state.Demand[b].Oldest - state.Demand[a].Oldest)
+	})
+	for i, model := range queued {
+		turn := time.Duration(i/storeLoads+1) * service.Engine.Models[model].Load
+		c.announce(service.Name, model, min(turn+swapTime, estimateLimit))
+	}
+}
+
+func (c *Coordinator) announce(service, model string, in time.Duration) {
+	c.estimates = append(c.estimates, Estimate{ModelKey: ModelKey{service, model}, ReadyInMS: int(in.Milliseconds())})
+}
+
+func (c *Coordinator) readyIn(now time.Duration, service, model string) (time.Duration, bool) {
+	for _, engine := range c.fleet {
+		if engine.upstream.Service != service {
+			continue
+		}
+		if engine.ready(model) {
+			return 0, true
+		}
+		if engine.loading != nil && engine.loading.Load == model {
+			return max(0, engine.readyAt-now), true
+		}
+	}
+	return 0, false
+}
+
+func (c *Coordinator) copyExists(service, model string) bool {
+	for _, engine := range c.fleet {
+		if engine.upstream.Service == service && !engine.upstream.Leaving &&
+			(slices.Contains(engine.holdings.OnDisk, model) || slices.Contains(engine.holdings.InMemory, model)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordinator/fleet.go
@@ -0,0 +1,102 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+// engineState is what the coordinator keeps about one incarnation of an engine.
+type engineState struct {
+	upstream *catalog.Upstream
+	holdings catalog.Holdings
+	occupied bool // an action is in progress here
+	loading  *Action
+	// readyAt is the expected end of loading.
+	readyAt time.Duration
+	// unsure are orders whose answer was lost.
+	unsure   []unsureOrder
+	unsureAt time.Duration // when the last answer was lost
+	loadedAt map[string]time.Duration
+	adapters map[string]time.Duration // MODEL/ADAPTER, when it was last asked for
+	// retryAt is when an engine that failed is asked again.
+	retryAt time.Duration
+	ordered bool // this coordinator has given it an order
+}
+
+// unsureOrder may be carried out while the engine's order count is afterSeq.
+type unsureOrder struct {
+	afterSeq int64
+	load     string // model, "": an unload or an adapter
+	adapter  string
+}
+
+func newEngineState(upstream *catalog.Upstream) *engineState {
+	return &engineState{
+		upstream: upstream, holdings: upstream.Holdings,
+		loadedAt: map[string]time.Duration{}, adapters: map[string]time.Duration{},
+	}
+}
+
+// learn takes over holdings unless they are older than what is known.
+func (e *engineState) learn(h catalog.Holdings) {
+	if h.OrderSeq < e.holdings.OrderSeq {
+		return
+	}
+	e.holdings = h
+	e.unsure = slices.DeleteFunc(e.unsure, func(o unsureOrder) bool { return h.OrderSeq > o.afterSeq })
+}
+
+// accepted notes that an order was accepted.
+func (e *engineState) accepted() {
+	e.holdings.OrderSeq++
+	e.unsure = slices.DeleteFunc(e.unsure, func(o unsureOrder) bool { return e.holdings.OrderSeq > o.afterSeq })
+}
+
+// reserved returns the models whose load may be carried out late.
+func (e *engineState) reserved() []string {
+	var models []string
+	for _, order := range e.unsure {
+		if order.load != "" && order.adapter == "" {
+			models = append(models, order.load)
+		}
+	}
+	if e.loading != nil && e.loading.Load != "" {
+		models = append(models, e.loading.Load)
+	}
+	return models
+}
+
+// ready reports whether a model can serve.
+func (e *engineState) ready(model string) bool {
+	if e.loading != nil && (e.loading.Load == model || slices.Contains(e.loading.Unload, model)) {
+		return false
+	}
+	return e.holdings.Holds(model)
+}
+
+func (e *engineState) view() EngineView {
+	view := EngineView{
+		Upstream: e.upstream.ID, Born: e.upstream.Born, OrderSeq: e.holdings.OrderSeq, Ready: map[string][]string{},
+	}
+	for model, adapters := range e.holdings.Models {
+		if e.ready(model) {
+			view.Ready[model] = adapters
+		}
+	}
+	return view
+}
+
+// planned returns the planner's view of the engine.
+func (e *engineState) planned(now time.Duration, running map[string]int) *Engine {
+	engine := &Engine{
+		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Leaving: e.upstream.Leaving,
+		Occupied: e.occupied || now < e.retryAt, Holdings: e.holdings, Reserved: e.reserved(),
+		Running: running, LoadedAt: e.loadedAt,
+	}
+	if e.loading != nil {
+		engine.Loading, engine.LoadingFromStore = e.loading.Load, e.loading.Source == FromStore
+	}
+	return engine
+}
--- /dev/null
+++ b/internal/coordinator/messages.go
@@ -0,0 +1,143 @@
+// Package coordinator holds the work of the one host that has the lease:
+// placement of models on engines, orders to engines, and the ledger of the
+// allowances. The other hosts talk to it in short exchanges.
+package coordinator
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/arbutusbank/arbutusbank/internal/allowance"
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+// ModelKey names a model of a service.
+type ModelKey struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+}
+
+// ModelDemand is what a host knows of the demand for a model.
+type ModelDemand struct {
+	ModelKey
+	Arrivals int `json:"arrivals,omitempty"` // since the last exchange
+	Waiting  int `json:"waiting,omitempty"`  // requests that wait for a replica
+	OldestMS int `json:"oldest_ms,omitempty"`
+}
+
+// RunningCount is the number of a host's requests at an upstream.
+type RunningCount struct {
+	Upstream string `json:"upstream"`
+	Model    string `json:"model,omitempty"`
+	Count    int    `json:"count"`
+}
+
+// ExchangeRequest is what a host tells the coordinator.
+type ExchangeRequest struct {
+	Host        string                    `json:"host"`
+	DataCenter  string                    `json:"data_center"`
+	Epoch       int64                     `json:"epoch"`        // of the view that the host has
+	ViewVersion int64                     `json:"view_version"` // of the view that the host has
+	Demand      []ModelDemand             `json:"demand,omitempty"`
+	Running     []RunningCount            `json:"running,omitempty"`
+	Needs       map[string]allowance.Need `json:"needs,omitempty"`
+}
+
+// Estimate says when a model will be ready.
+type Estimate struct {
+	ModelKey
+	ReadyInMS int `json:"ready_in_ms"` // -1: nothing is planned
+}
+
+// EngineView is what the coordinator knows of one engine.
+type EngineView struct {
+	Upstream string              `json:"upstream"`
+	Born     int64               `json:"born"`
+	OrderSeq int64               `json:"order_seq"`
+	Ready    map[string][]string `json:"ready"` // models and their adapters
+}
+
+// View is what the coordinator knows of all engines.
+type View struct {
+	Version int64        `json:"version"`
+	Engines []EngineView `json:"engines"`
+}
+
+// ExchangeReply is the coordinator's answer.
+type ExchangeReply struct {
+	// Holder says whether the host that was asked holds the lease. Without it
+	// all other fields are empty.
+	Holder    bool                       `json:"holder"`
+	Epoch     int64                      `json:"epoch"`
+	Hosts     int                        `json:"hosts"`
+	View      *View                      `json:"view,omitempty"` // nil: unchanged
+	Grants    map[string]allowance.Grant `json:"grants,omitempty"`
+	Estimates []Estimate                 `json:"estimates,omitempty"`
+	// Running counts the requests of all other hosts at each upstream.
+	Running []RunningCount `json:"running,omitempty"`
+}
+
+// AdapterRequest asks for an adapter to be loaded on some engine that holds
+// its model.
+type AdapterRequest struct {
+	Host string `json:"host"`
+	ModelKey
+	Adapter string `json:"adapter"`
+}
+
+// AdapterReply says where the adapter is.
+type AdapterReply struct {
+	Upstream  string `json:"upstream"` // "": nowhere
+	ReadyInMS int    `json:"ready_in_ms"`
+	Reason    string `json:"reason,omitempty"` // why nowhere
+}
+
+// Order is an order to an engine.
+type Order struct {
+	Unload   bool
+	Model    string
+	Adapter  string // "": the model itself
+	AfterSeq int64  // the engine's order count that the order relies on
+	Holder   string
+	Fence    int64
+}
+
+// OrderResult is an engine's answer to an order.
+type OrderResult uint8
+
+// Results of an order.
+const (
+	OrderUnknown  OrderResult = iota // it may be carried out, now or later
+	OrderAccepted                    // it is being carried out
+	OrderHolds                       // what it asks for already holds
+	OrderConflict                    // another order is in progress, or the count differs
+	OrderRejected                    // it will not be carried out
+)
+
+// String returns the result's name for logs.
+func (r OrderResult) String() string {
+	return [...]string{"unknown", "accepted", "holds", "conflict", "rejected"}[r]
+}
+
+// Engines calls engines.
+type Engines interface {
+	// Report returns what the engine holds, as of a moment ago.
+	Report(ctx context.Context, upstream *catalog.Upstream) (catalog.Holdings, error)
+	// Order gives an order. An error with OrderUnknown leaves its fate open.
+	Order(ctx context.Context, upstream *catalog.Upstream, order Order) (OrderResult, error)
+}
+
+// EngineError reports a failed call to an engine.
+type EngineError struct {
+	Upstream string
+	Call     string
+	Cause    error
+}
+
+// Error implements error.
+func (e *EngineError) Error() string {
+	return fmt.Sprintf("engine %s: %s: %v", e.Upstream, e.Call, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EngineError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/coordinator/orders.go
@@ -0,0 +1,327 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/rendezvous"
+)
+
+const (
+	// orderArrival is the time that an order may take to arrive. The lease
+	// must be valid for so long when an order is sent.
+	orderArrival = 150 * time.Millisecond
+	// orderTimeout bounds an order; engines answer within a few milliseconds.
+	orderTimeout = 600 * time.Millisecond
+	// reportTimeout bounds a report.
+	reportTimeout = 400 * time.Millisecond
+	// reportLag is how old the content of a report may be.
+	reportLag = 150 * time.Millisecond
+	// pollEvery is the period of reports while an order is in progress.
+	pollEvery = 150 * time.Millisecond
+	// overtime is the time, as a multiple of the expected one, after which an
+	// order that was accepted counts as lost.
+	overtime = 4
+	// failurePause is the time for which an engine that failed gets no order.
+	failurePause = 700 * time.Millisecond
+	// adapterTime is the expected time of loading an adapter.
+	adapterTime = 16 * time.Millisecond
+	// unloadWait bounds the wait for an unload, which waits for runs to end.
+	unloadWait = 6 * time.Second
+)
+
+// carryOut gives an action's orders. Failures leave the engine as it is; the
+// planner decides anew.
+func (c *Coordinator) carryOut(ctx context.Context, engine *engineState, action *Action) {
+	defer c.finish(engine, action)
+	for _, model := range action.Unload {
+		if !c.perform(ctx, engine, Order{Unload: true, Model: model}, 0) {
+			return
+		}
+	}
+	c.mu.Lock()
+	engine.readyAt = clock.SinceBoot() + action.Takes + reportLag
+	c.mu.Unlock()
+	c.perform(ctx, engine, Order{Model: action.Load}, action.Takes)
+}
+
+func (c *Coordinator) finish(engine *engineState, action *Action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engine.occupied = false
+	engine.loading = nil
+	if engine.holdings.Holds(action.Load) {
+		engine.loadedAt[action.Load] = clock.SinceBoot()
+	}
+	c.viewDirty = true
+}
+
+// perform gives one order and waits until it is carried out. It reports
+// whether the engine holds (or no longer holds) the model afterwards.
+func (c *Coordinator) perform(ctx context.Context, engine *engineState, order Order, takes time.Duration) bool {
+	result, ok := c.give(ctx, engine, order)
+	if !ok {
+		return false
+	}
+	if result == OrderHolds {
+		c.refresh(ctx, engine)
+		return true
+	}
+	limit := takes*overtime + time.Second
+	if order.Unload {
+		limit = unloadWait
+	}
+	begun := clock.SinceBoot()
+	pause(ctx, takes)
+	for ctx.Err() == nil && clock.SinceBoot()-begun < limit {
+		if c.refresh(ctx, engine) && c.done(engine, order) {
+			c.log.Info("Order carried out.", "upstream", engine.upstream.ID, "model", order.Model, "unload", order.Unload,
+				"took_ms", (clock.SinceBoot() - begun).Milliseconds())
+			return true
+		}
+		pause(ctx, pollEvery)
+	}
+	c.log.Info("Order overdue.", "upstream", engine.upstream.ID, "model", order.Model, "unload", order.Unload,
+		"after_ms", (clock.SinceBoot() - begun).Milliseconds())
+	c.fail(engine)
+	return false
+}
+
+func (c *Coordinator) done(engine *engineState, order Order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !engine.holdings.Busy && engine.holdings.Holds(order.Model) != order.Unload
+}
+
+// give sends an order with the engine's order count, so that an earlier one
+// whose answer was lost can't be carried out after it.
+func (c *Coordinator) give(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+	fence, ok := c.lease.MayOrder(orderArrival)
+	if !ok {
+		return OrderRejected, false
+	}
+	c.mu.Lock()
+	upstream := engine.upstream
+	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := c.engines.Order(ctx, upstream, order)
+	c.mu.Lock()
+	switch result {
+	case OrderAccepted:
+		engine.accepted()
+		engine.holdings.Busy = order.Adapter == ""
+	case OrderUnknown:
+		engine.unsure = append(engine.unsure, unsureOrder{afterSeq: order.AfterSeq, load: loadOf(order), adapter: order.Adapter})
+		engine.unsureAt = clock.SinceBoot()
+	}
+	c.mu.Unlock()
+	c.log.Info("Order given.", "upstream", upstream.ID, "model", order.Model, "adapter", order.Adapter, "unload", order.Unload,
+		"after_seq", order.AfterSeq, "fence", fence, "result", result.String(), "error", errorText(err))
+	if result == OrderAccepted || result == OrderHolds {
+		return result, true
+	}
+	c.refresh(ctx, engine)
+	c.fail(engine)
+	return result, false
+}
+
+func loadOf(order Order) string {
+	if order.Unload {
+		return ""
+	}
+	return order.Model
+}
+
+func (c *Coordinator) fail(engine *engineState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engine.retryAt = clock.SinceBoot() + failurePause
+}
+
+// refresh reads the engine's report.
+func (c *Coordinator) refresh(ctx context.Context, engine *engineState) bool {
+	c.mu.Lock()
+	upstream := engine.upstream
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	holdings, err := c.engines.Report(ctx, upstream)
+	if err != nil {
+		c.log.V(1).Info("Report not read.", "upstream", upstream.ID, "error", err.Error())
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if holdings.OrderSeq < engine.holdings.OrderSeq {
+		return false
+	}
+	if len(holdings.OnDisk) == 0 && len(holdings.InMemory) == 0 {
+		holdings.OnDisk, holdings.InMemory = engine.holdings.OnDisk, engine.holdings.InMemory
+	}
+	engine.learn(holdings)
+	c.viewDirty = true
+	return true
+}
+
+// Adapter loads an adapter on an engine that holds its model.
+func (c *Coordinator) Adapter(ctx context.Context, request *AdapterRequest) *AdapterReply {
+	name := request.Model + "/" + request.Adapter
+	c.mu.Lock()
+	engine, loaded := c.adapterPlace(request)
+	if engine == nil {
+		c.mu.Unlock()
+		return &AdapterReply{Reason: "no engine with the model has a place"}
+	}
+	now := clock.SinceBoot()
+	engine.adapters[name] = now
+	if loaded {
+		c.mu.Unlock()
+		return &AdapterReply{Upstream: engine.upstream.ID}
+	}
+	occupied := engine.occupied
+	engine.occupied = true
+	evict := c.adapterVictim(engine, name)
+	c.mu.Unlock()
+	defer c.release(engine, occupied)
+	if evict != "" && !c.dropAdapter(ctx, engine, evict) {
+		return &AdapterReply{Reason: "no place could be freed"}
+	}
+	result, ok := c.give(ctx, engine, Order{Model: request.Model, Adapter: request.Adapter})
+	if !ok {
+		return &AdapterReply{Reason: "order " + result.String()}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if adapters, held := engine.holdings.Models[request.Model]; held && !slices.Contains(adapters, request.Adapter) {
+		models := cloneModels(engine.holdings.Models)
+		models[request.Model] = append(slices.Clone(adapters), request.Adapter)
+		engine.holdings.Models = models
+	}
+	c.viewDirty = true
+	reply := &AdapterReply{Upstream: engine.upstream.ID}
+	if result == OrderAccepted {
+		reply.ReadyInMS = int(adapterTime.Milliseconds())
+	}
+	return reply
+}
+
+func (c *Coordinator) release(engine *engineState, occupied bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engine.occupied = occupied
+}
+
+// adapterPlace chooses the engine for an adapter: one that has it, else the
+// model's engines in a fixed order for each adapter, so that the adapters of a
+// model spread over its engines.
+func (c *Coordinator) adapterPlace(request *AdapterRequest) (engine *engineState, loaded bool) {
+	byID := map[string]*engineState{}
+	var ids []string
+	now := clock.SinceBoot()
+	for id, e := range c.fleet {
+		if e.upstream.Service != request.Service || e.upstream.Leaving || !e.ready(request.Model) {
+			continue
+		}
+		if slices.Contains(e.holdings.Models[request.Model], request.Adapter) {
+			return e, true
+		}
+		if !e.occupied && now >= e.retryAt {
+			byID[id] = e
+			ids = append(ids, id)
+		}
+	}
+	return byID[rendezvous.Owner(request.Adapter, ids)], false
+}
+
+// adapterVictim returns the adapter (as MODEL/ADAPTER) to unload before another
+// one fits, "" if there is a place.
+func (c *Coordinator) adapterVictim(engine *engineState, wanted string) string {
+	config := c.knowledge.Config()
+	service := config.Services[engine.upstream.Service]
+	if service == nil || service.Engine == nil {
+		return ""
+	}
+	count := len(engine.holdings.Pending)
+	for _, order := range engine.unsure {
+		if order.adapter != "" {
+			count++
+		}
+	}
+	oldest, oldestAt := "", time.Duration(0)
+	for model, adapters := range engine.holdings.Models {
+		for _, adapter := range adapters {
+			count++
+			name := model + "/" + adapter
+			at := engine.adapters[name]
+			if name != wanted && (oldest == "" || at < oldestAt) {
+				oldest, oldestAt = name, at
+			}
+		}
+	}
+	if count < service.Engine.AdapterPlaces {
+		return ""
+	}
+	return oldest
+}
+
+func (c *Coordinator) dropAdapter(ctx context.Context, engine *engineState, name string) bool {
+	model, adapter := splitAdapter(name)
+	if _, ok := c.give(ctx, engine, Order{Unload: true, Model: model, Adapter: adapter}); !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	models := cloneModels(engine.holdings.Models)
+	models[model] = slices.DeleteFunc(slices.Clone(models[model]), func(a string) bool { return a == adapter })
+	engine.holdings.Models = models
+	c.viewDirty = true
+	return true
+}
+
+func cloneModels(models map[string][]string) map[string][]string {
+	clone := make(map[string][]string, len(models))
+	for model, adapters := range models {
+		clone[model] = adapters
+	}
+	return clone
+}
+
+func splitAdapter(name string) (model, adapter string) {
+	for i := range len(name) {
+		if name[i] == '/' {
+			return name[:i], name[i+1:]
+		}
+	}
+	return name, ""
+}
+
+// Upstream returns the entry of an engine; for tests and the state dump.
+func (c *Coordinator) Upstream(id string) *catalog.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if engine := c.fleet[id]; engine != nil {
+		return engine.upstream
+	}
+	return nil
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/coordinator/plan.go
@@ -0,0 +1,333 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/rendezvous"
+)
+
+const (
+	// replicaLoad is the number of concurrent requests of a model that one
+	// replica is to carry before another one is loaded.
+	replicaLoad = 12
+	// spareRate is the rate, in requests per second, from which a model has a
+	// second replica, so that the loss of one engine does not stop it.
+	spareRate = 1.0
+	// keepRate is the rate of a model, for each replica, from which no replica
+	// yields to another model.
+	keepRate = 1.5
+	// minResidence is how long a loaded model stays, so that the requests that
+	// waited for it are served.
+	minResidence = 1200 * time.Millisecond
+	// storeLoads is the number of loads from the weight store at a time; more
+	// of them share the same bandwidth.
+	storeLoads = 4
+	// prefetchIdle is how long a model must not have been asked for before it
+	// yields to one that is only loaded ahead.
+	prefetchIdle = 1500 * time.Millisecond
+	// loadPenalty multiplies the rate of an engine with many requests when a
+	// place for a model is chosen.
+	loadPenalty = 0.05
+)
+
+// Source is where an engine takes weights from.
+type Source uint8
+
+// Sources of weights, fastest first.
+const (
+	FromMemory Source = iota
+	FromDisk
+	FromStore
+)
+
+// String returns the source's name for logs.
+func (s Source) String() string { return [...]string{"memory", "disk", "store"}[s] }
+
+// Demand is the fleet's demand for a model.
+type Demand struct {
+	Rate     float64 // requests per second
+	Waiting  int
+	Oldest   time.Duration // of the waiting requests
+	Running  int
+	LastSeen time.Duration // when it was last asked for
+}
+
+// Engine is what the planner knows of one engine.
+type Engine struct {
+	ID         string
+	DataCenter string
+	Leaving    bool
+	Occupied   bool // an order is in progress or its fate is unknown
+	Holdings   catalog.Holdings
+	// Reserved are models whose load may still be carried out.
+	Reserved []string
+	Running  map[string]int           // by model, over all hosts
+	LoadedAt map[string]time.Duration // when a model became ready
+	Loading  string                   // model that is being loaded, "": none
+	// LoadingFromStore says where Loading comes from.
+	LoadingFromStore bool
+}
+
+// State is the planner's input for one service.
+type State struct {
+	Now     time.Duration
+	Service *catalog.Service
+	Engines []*Engine
+	Demand  map[string]*Demand // by model
+	// StoreStarts is the number of loads from the weight store that may begin
+	// now without exceeding the store's rate.
+	StoreStarts int
+	// Prefetch permits loads of models that nobody waits for.
+	Prefetch bool
+}
+
+// Action tells an engine to unload models and then to load one.
+type Action struct {
+	Engine string
+	Unload []string
+	Load   string
+	Source Source
+	Reason string
+	Takes  time.Duration // expected time of the load
+}
+
+type planner struct {
+	State
+	taken   map[string]bool // engines with an action
+	stores  int             // loads from the weight store in progress
+	started int
+	actions []Action
+}
+
+// need is a model that wants one more replica.
+type need struct {
+	model  string
+	value  float64
+	reason string
+	ahead  bool // nobody waits for it
+}
+
+// Plan returns the actions to begin now, the most valuable first.
+func Plan(state State) []Action {
+	p := &planner{State: state, taken: map[string]bool{}}
+	for _, engine := range state.Engines {
+		if engine.Loading != "" && engine.LoadingFromStore {
+			p.stores++
+		}
+	}
+	for _, n := range p.needs() {
+		p.place(n)
+	}
+	return p.actions
+}
+
+func (p *planner) needs() []need {
+	var needs []need
+	for model := range p.Service.Engine.Models {
+		if n, ok := p.needOf(model); ok {
+			needs = append(needs, n)
+		}
+	}
+	slices.SortFunc(needs, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.model, b.model))
+	})
+	return needs
+}
+
+func (p *planner) needOf(model string) (need, bool) {
+	ready, coming, copies := p.replicas(model)
+	demand := p.Demand[model]
+	if demand == nil {
+		demand = &Demand{}
+	}
+	if coming > 0 {
+		return need{}, false
+	}
+	switch {
+	case ready == 0 && demand.Waiting > 0:
+		return need{model: model, value: 1000 + float64(demand.Waiting) + demand.Oldest.Seconds(), reason: "waiting"}, true
+	case ready == 0 && demand.Rate >= keepRate:
+		return need{model: model, value: 900 + demand.Rate, reason: "asked for"}, true
+	case ready > 0 && demand.Running > ready*replicaLoad:
+		return need{model: model, value: 500 + float64(demand.Running)/float64(ready), reason: "loaded"}, true
+	case ready == 1 && demand.Rate >= spareRate:
+		return need{model: model, value: 100 + demand.Rate, reason: "spare"}, true
+	case ready == 0 && copies == 0 && p.Prefetch:
+		return need{model: model, value: demand.Rate, reason: "ahead", ahead: true}, true
+	}
+	return need{}, false
+}
+
+// replicas counts where a model is ready, being loaded, and kept as a copy.
+func (p *planner) replicas(model string) (ready, coming, copies int) {
+	for _, engine := range p.Engines {
+		if engine.Leaving {
+			continue
+		}
+		switch {
+		case engine.Loading == model || slices.Contains(engine.Reserved, model):
+			coming++
+		case engine.Holdings.Holds(model):
+			ready++
+		}
+		if p.source(engine, model) != FromStore {
+			copies++
+		}
+	}
+	return ready, coming, copies
+}
+
+func (p *planner) source(engine *Engine, model string) Source {
+	switch {
+	case slices.Contains(engine.Holdings.InMemory, model):
+		return FromMemory
+	case slices.Contains(engine.Holdings.OnDisk, model):
+		return FromDisk
+	default:
+		return FromStore
+	}
+}
+
+func (p *planner) loadTime(model string, source Source) time.Duration {
+	m := p.Service.Engine.Models[model]
+	switch source {
+	case FromMemory:
+		return m.LoadMemory
+	case FromDisk:
+		return m.LoadDisk
+	default:
+		return m.Load
+	}
+}
+
+// place chooses an engine for a need, if there is one.
+func (p *planner) place(n need) {
+	var best *Action
+	bestCost := 0.0
+	for _, engine := range p.Engines {
+		action, cost, ok := p.try(engine, n)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestCost = &action, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.taken[best.Engine] = true
+	if best.Source == FromStore {
+		p.stores++
+		p.started++
+	}
+	p.actions = append(p.actions, *best)
+}
+
+// try returns the action and its cost in seconds if the engine can take the model.
+func (p *planner) try(engine *Engine, n need) (Action, float64, bool) {
+	if engine.Leaving || engine.Occupied || p.taken[engine.ID] || engine.Holdings.Holds(n.model) {
+		return Action{}, 0, false
+	}
+	source := p.source(engine, n.model)
+	if source == FromStore && (p.stores >= storeLoads || p.started >= p.StoreStarts) {
+		return Action{}, 0, false
+	}
+	victims, lost, ok := p.makeRoom(engine, n)
+	if !ok {
+		return Action{}, 0, false
+	}
+	takes := p.loadTime(n.model, source)
+	running := 0
+	for _, count := range engine.Running {
+		running += count
+	}
+	cost := takes.Seconds() + lost + loadPenalty*float64(running)
+	// Equal engines are told apart in the same way by every coordinator.
+	cost += float64(rendezvous.Score(n.model, engine.ID)%1000) / 1e5
+	return Action{
+		Engine: engine.ID, Unload: victims, Load: n.model, Source: source, Reason: n.reason, Takes: takes,
+	}, cost, true
+}
+
+// free returns the memory that is certainly free, in MB.
+func (p *planner) free(engine *Engine) float64 {
+	e := p.Service.Engine
+	left := e.WeightsMB - float64(e.AdapterPlaces)*maxAdapterMB(e)
+	for model := range engine.Holdings.Models {
+		left -= e.Models[model].WeightsMB
+	}
+	for _, model := range engine.Reserved {
+		if !engine.Holdings.Holds(model) {
+			left -= e.Models[model].WeightsMB
+		}
+	}
+	return left
+}
+
+func maxAdapterMB(e *catalog.Engine) float64 {
+	most := 0.0
+	for _, model := range e.Models {
+		most = max(most, model.AdapterMB)
+	}
+	return most
+}
+
+type victim struct {
+	model string
+	loss  float64
+	mb    float64
+}
+
+// makeRoom returns the models to unload, and what that costs in seconds.
+func (p *planner) makeRoom(engine *Engine, n need) ([]string, float64, bool) {
+	missing := p.Service.Engine.Models[n.model].WeightsMB - p.free(engine)
+	if missing <= 0 {
+		return nil, 0, true
+	}
+	var candidates []victim
+	for model := range engine.Holdings.Models {
+		if loss, ok := p.lossOf(engine, model, n); ok {
+			candidates = append(candidates, victim{model, loss, p.Service.Engine.Models[model].WeightsMB})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.model, b.model))
+	})
+	var models []string
+	lost := 0.0
+	for _, candidate := range candidates {
+		models = append(models, candidate.model)
+		lost += candidate.loss
+		missing -= candidate.mb
+		if missing <= 0 {
+			return models, lost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// lossOf returns what it costs, in seconds of waiting, to unload a model; false
+// if it must stay.
+func (p *planner) lossOf(engine *Engine, model string, n need) (float64, bool) {
+	if engine.Running[model] > 0 || p.Now-engine.LoadedAt[model] < minResidence {
+		return 0, false
+	}
+	demand := p.Demand[model]
+	if demand == nil {
+		return 0, true
+	}
+	ready, _, _ := p.replicas(model)
+	if ready <= 1 && demand.Waiting > 0 {
+		return 0, false
+	}
+	rate := demand.Rate / float64(max(1, ready))
+	if rate >= keepRate || (ready <= 2 && demand.Rate >= keepRate) {
+		return 0, false
+	}
+	if n.ahead && (p.Now-demand.LastSeen < prefetchIdle || p.source(engine, model) == FromStore) {
+		return 0, false
+	}
+	reload := p.loadTime(model, p.source(engine, model))
+	return rate * reload.Seconds(), true
+}
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/table"
+)
+
+const (
+	// returnGrace is how long a missing entry is waited for after the table
+	// service was unavailable: entries lapse then and come back.
+	returnGrace = 2 * time.Second
+	// firstPenalty is how long an upstream that failed is avoided; it doubles
+	// with each further failure up to maxPenalty.
+	firstPenalty = 500 * time.Millisecond
+	maxPenalty   = 4 * time.Second
+	// failureWeight is the weight of a new outcome in an upstream's failure rate.
+	failureWeight = 0.2
+)
+
+// DecodeUpstream decodes the row of an upstream.
+type DecodeUpstream func(row table.Row) (*catalog.Upstream, error)
+
+// health is what this host has seen of an upstream.
+type health struct {
+	avoidUntil time.Time
+	penalty    time.Duration
+	failures   float64 // rate of failed requests, 0 to 1
+}
+
+// runningKey names the requests of a model at an upstream.
+type runningKey struct{ upstream, model string }
+
+// Directory knows the upstreams, what they hold, and how busy they are. It is
+// safe for concurrent use.
+type Directory struct {
+	decode DecodeUpstream
+	log    logr.Logger
+	forget func(id string) // an incarnation is gone
+
+	mu       sync.Mutex
+	entries  map[string]*catalog.Upstream
+	missing  map[string]time.Time // entries that may come back, until when
+	lostAt   time.Time            // last failure of the table service
+	engines  map[string]coordinator.EngineView
+	epoch    int64
+	version  int64
+	health   map[string]*health
+	running  map[runningKey]int
+	others   map[string]int // requests of other hosts, by upstream
+	changed  chan struct{}
+	snapshot []*catalog.Upstream // nil: to be made
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(decode DecodeUpstream, forget func(id string), log logr.Logger) *Directory {
+	return &Directory{
+		decode: decode, log: log, forget: forget,
+		entries: map[string]*catalog.Upstream{}, missing: map[string]time.Time{},
+		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
+		running: map[runningKey]int{}, others: map[string]int{}, changed: make(chan struct{}),
+	}
+}
+
+// Apply takes over rows of the upstreams' table.
+func (d *Directory) Apply(rows []table.Row, full bool, _ time.Duration) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	present := map[string]bool{}
+	for _, row := range rows {
+		present[row.Key] = true
+		d.applyRow(row, now)
+	}
+	if full {
+		for id := range d.entries {
+			if !present[id] {
+				d.remove(id, now)
+			}
+		}
+	}
+	d.expire(now)
+	if len(rows) > 0 || full {
+		d.notify()
+	}
+}
+
+// Lost notes that the table service failed.
+func (d *Directory) Lost(error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lostAt = time.Now()
+}
+
+func (d *Directory) applyRow(row table.Row, now time.Time) {
+	if row.Deleted {
+		d.remove(row.Key, now)
+		return
+	}
+	entry, err := d.decode(row)
+	if err != nil {
+		d.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "error", err.Error())
+		return
+	}
+	delete(d.missing, row.Key)
+	known := d.entries[row.Key]
+	d.entries[row.Key] = entry
+	switch {
+	case known == nil:
+		d.log.Info("Upstream found.", "upstream", entry.ID, "service", entry.Service, "address", entry.Address,
+			"data_center", entry.DataCenter, "leaving", entry.Leaving, "revision", row.Revision)
+	case known.Born != entry.Born || known.Address != entry.Address:
+		d.log.Info("Upstream started again.", "upstream", entry.ID, "born", entry.Born, "revision", row.Revision)
+		delete(d.health, entry.ID)
+		d.forget(entry.ID)
+	case known.Leaving != entry.Leaving:
+		d.log.Info("Upstream leaves.", "upstream", entry.ID, "leaves_in_ms", entry.LeavesIn.Milliseconds(), "revision", row.Revision)
+	}
+}
+
+// remove drops an entry, or keeps it for a while if it may only have lapsed
+// with the table service.
+func (d *Directory) remove(id string, now time.Time) {
+	entry := d.entries[id]
+	if entry == nil {
+		return
+	}
+	if _, waits := d.missing[id]; waits {
+		return
+	}
+	if !entry.Leaving && now.Sub(d.lostAt) < returnGrace {
+		d.missing[id] = d.lostAt.Add(returnGrace)
+		d.log.Info("Entry of an upstream is missing; waiting for it to come back.", "upstream", id)
+		return
+	}
+	d.drop(id)
+}
+
+func (d *Directory) drop(id string) {
+	d.log.Info("Upstream gone.", "upstream", id)
+	delete(d.entries, id)
+	delete(d.missing, id)
+	delete(d.health, id)
+	d.forget(id)
+}
+
+// expire drops the entries that did not come back in time.
+func (d *Directory) expire(now time.Time) {
+	for id, until := range d.missing {
+		if now.After(until) {
+			d.drop(id)
+		}
+	}
+}
+
+func (d *Directory) notify() {
+	d.snapshot = nil
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Upstreams implements coordinator.Knowledge.
+func (d *Directory) Upstreams() []*catalog.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.snapshot == nil {
+		d.snapshot = slices.Collect(maps.Values(d.entries))
+	}
+	return d.snapshot
+}
+
+// ApplyExchange takes over the coordinator's view.
+func (d *Directory) ApplyExchange(reply *coordinator.ExchangeReply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.others = map[string]int{}
+	for _, r := range reply.Running {
+		d.others[r.Upstream] += r.Count
+	}
+	if reply.View == nil {
+		return
+	}
+	d.epoch, d.version = reply.Epoch, reply.View.Version
+	d.engines = map[string]coordinator.EngineView{}
+	for _, engine := range reply.View.Engines {
+		d.engines[engine.Upstream] = engine
+	}
+	d.notify()
+}
+
+// ViewVersion returns the epoch and version of the coordinator's view.
+func (d *Directory) ViewVersion() (epoch, version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.epoch, d.version
+}
+
+// RunningCounts returns this host's requests at each upstream.
+func (d *Directory) RunningCounts() []coordinator.RunningCount {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make([]coordinator.RunningCount, 0, len(d.running))
+	for key, count := range d.running {
+		counts = append(counts, coordinator.RunningCount{Upstream: key.upstream, Model: key.model, Count: count})
+	}
+	return counts
+}
+
+// Enter counts a request at an upstream until the returned function is called.
+func (d *Directory) Enter(id, model string) (leave func()) {
+	key := runningKey{id, model}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[key]++
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.running[key]--
+		if d.running[key] == 0 {
+			delete(d.running, key)
+		}
+	}
+}
+
+// Report notes the outcome of a request at an upstream.
+func (d *Directory) Report(id string, outcome Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.health[id]
+	if h == nil {
+		h = &health{}
+		d.health[id] = h
+	}
+	failed := 0.0
+	if outcome != OutcomeServed {
+		failed = 1
+	}
+	h.failures += failureWeight * (failed - h.failures)
+	switch outcome {
+	case OutcomeServed:
+		h.penalty, h.avoidUntil = 0, time.Time{}
+	case OutcomeUnreachable:
+		h.penalty = min(max(2*h.penalty, firstPenalty), maxPenalty)
+		h.avoidUntil = time.Now().Add(h.penalty)
+	}
+}
+
+// Outcome is how a request at an upstream ended.
+type Outcome uint8
+
+// Outcomes of a request.
+const (
+	OutcomeServed      Outcome = iota
+	OutcomeFailed              // answered with a failure, or with a broken answer
+	OutcomeUnreachable         // no connection, or the connection broke
+)
+
+// Candidate is an upstream that may take a request.
+type Candidate struct {
+	Upstream *catalog.Upstream
+	Load     int  // requests there, over all hosts
+	Adapter  bool // the adapter asked for is loaded
+	Avoid    bool // it failed a moment ago
+	Failures float64
+}
+
+// Candidates returns the upstreams of a service that can run a request for a
+// model (plain services: "").
+func (d *Directory) Candidates(service, model, adapter string) []Candidate {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	local := map[string]int{}
+	for key, count := range d.running {
+		local[key.upstream] += count
+	}
+	var candidates []Candidate
+	for id, entry := range d.entries {
+		if entry.Service != service || entry.Leaving {
+			continue
+		}
+		adapters, holds := d.holds(entry, model)
+		if model != "" && !holds {
+			continue
+		}
+		candidate := Candidate{
+			Upstream: entry, Load: local[id] + d.others[id],
+			Adapter: adapter == "" || slices.Contains(adapters, adapter),
+		}
+		if h := d.health[id]; h != nil {
+			candidate.Avoid, candidate.Failures = now.Before(h.avoidUntil), h.failures
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// holds returns the adapters that an engine has for a model, from the entry or
+// from the coordinator's view, whichever knows more orders.
+func (d *Directory) holds(entry *catalog.Upstream, model string) ([]string, bool) {
+	view, ok := d.engines[entry.ID]
+	if ok && view.Born == entry.Born && view.OrderSeq >= entry.Holdings.OrderSeq {
+		adapters, holds := view.Ready[model]
+		return adapters, holds
+	}
+	adapters, holds := entry.Holdings.Models[model]
+	return adapters, holds
+}
+
+// NoteAdapter records an adapter that the coordinator has just had loaded.
+func (d *Directory) NoteAdapter(id, model, adapter string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view, ok := d.engines[id]
+	if !ok {
+		return
+	}
+	if adapters, holds := view.Ready[model]; holds && !slices.Contains(adapters, adapter) {
+		ready := maps.Clone(view.Ready)
+		ready[model] = append(slices.Clone(adapters), adapter)
+		view.Ready = ready
+		d.engines[id] = view
+	}
+}
+
+// NoteAbsent records that an engine said that it lacks a model or adapter.
+func (d *Directory) NoteAbsent(id, model, adapter string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view, ok := d.engines[id]
+	if !ok {
+		return
+	}
+	ready := maps.Clone(view.Ready)
+	if adapter != "" {
+		ready[model] = slices.DeleteFunc(slices.Clone(ready[model]), func(a string) bool { return a == adapter })
+	} else {
+		delete(ready, model)
+	}
+	view.Ready = ready
+	d.engines[id] = view
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/call"
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/upstream"
+)
+
+const (
+	// maxSends bounds the sends of one request, those that did not run included.
+	maxSends = 4
+	// maxDials bounds the upstreams to which no connection could be opened.
+	maxDials = 6
+	// notRunPause is the time before a request that an upstream did not run is
+	// sent again, when no other upstream is left.
+	notRunPause = 60 * time.Millisecond
+	// runTime is kept of a caller's patience for the run itself.
+	runTime = 250 * time.Millisecond
+	// unknownWait is how long a request waits without an estimate.
+	unknownWait = 700 * time.Millisecond
+	// adapterTries bounds the calls for an adapter.
+	adapterTries = 3
+	// adapterPause separates them.
+	adapterPause = 80 * time.Millisecond
+	// priorityBase leaves room for more urgent work of the system's own.
+	priorityBase = 2
+	maxPriority  = 9
+)
+
+// dispatcher sends one request until it is answered or given up.
+type dispatcher struct {
+	*exchange
+	ctx   context.Context
+	model coordinator.ModelKey
+	tried map[string]bool // upstreams that failed for this request
+	// sends counts the sends after which the upstream may have begun to read
+	// the request; runs counts those that may have run.
+	sends, runs, dials int
+	relay              relay
+}
+
+// dispatch sends the request on. It returns a refusal if nothing was answered.
+func (e *exchange) dispatch() *refusal {
+	ctx, cancel := context.WithDeadline(e.http.Context(), e.deadline)
+	defer cancel()
+	d := &dispatcher{
+		exchange: e, ctx: ctx, tried: map[string]bool{},
+		model: coordinator.ModelKey{Service: e.service.Name, Model: e.request.Model},
+	}
+	d.relay.exchange = e
+	e.gateway.exchanger.budget.NoteRequest(e.begun, e.service.Name)
+	if d.isEngine() {
+		e.gateway.exchanger.waiting.arrived(d.model)
+	}
+	for {
+		candidate, refused := d.find()
+		if refused != nil {
+			return d.giveUp(refused)
+		}
+		again, refused := d.send(candidate)
+		if !again {
+			return d.giveUp(refused)
+		}
+	}
+}
+
+func (d *dispatcher) isEngine() bool { return d.service.Engine != nil && d.request.Model != "" }
+
+// giveUp corrects a refusal for what has happened before it.
+func (d *dispatcher) giveUp(r *refusal) *refusal {
+	if r == nil {
+		return nil
+	}
+	if d.relay.begun {
+		d.record.status, d.record.reason = statusBrokenOff, r.reason
+		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+	}
+	if d.runs > 0 && (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) {
+		r.status, r.retryAfter = http.StatusBadGateway, 0
+	}
+	if d.runs > 0 {
+		d.charged = false // it may have run: the cost is spent
+	}
+	return r
+}
+
+// find chooses an upstream, waiting for one if need be.
+func (d *dispatcher) find() (*Candidate, *refusal) {
+	if d.isEngine() {
+		return d.findEngine()
+	}
+	candidates := d.gateway.directory.Candidates(d.service.Name, "", "")
+	candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+	if candidate == nil && len(candidates) > 0 && d.runs == 0 {
+		sleep(d.ctx, notRunPause)
+		clear(d.tried)
+		candidate = choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+	}
+	if candidate == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: shortRetry}
+	}
+	return candidate, nil
+}
+
+// findEngine chooses an engine that has the model and the adapter.
+func (d *dispatcher) findEngine() (*Candidate, *refusal) {
+	asked := 0
+	for {
+		changed := d.gateway.directory.Changed()
+		candidates := d.gateway.directory.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
+		if candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried); candidate != nil {
+			if candidate.Adapter {
+				return candidate, nil
+			}
+			if refused := d.askAdapter(&asked); refused != nil {
+				return nil, refused
+			}
+			continue
+		}
+		if len(candidates) > 0 && d.runs == 0 {
+			sleep(d.ctx, notRunPause)
+			clear(d.tried)
+			if d.ctx.Err() != nil {
+				return nil, d.timedOut()
+			}
+			continue
+		}
+		if refused := d.awaitModel(changed); refused != nil {
+			return nil, refused
+		}
+	}
+}
+
+// askAdapter has the adapter loaded by the coordinator.
+func (d *dispatcher) askAdapter(asked *int) *refusal {
+	*asked++
+	reply, err := d.gateway.exchanger.loadAdapter(d.ctx, d.model, d.request.Adapter)
+	if err == nil && reply.Upstream != "" {
+		return nil
+	}
+	reason := errorText(err)
+	if err == nil {
+		reason = reply.Reason
+	}
+	d.gateway.log.Info("Adapter not loaded.", "request", d.request.ID, "model", d.request.Model,
+		"adapter", d.request.Adapter, "asked", *asked, "reason", reason)
+	if *asked >= adapterTries || d.ctx.Err() != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded: " + reason, retryAfter: shortRetry}
+	}
+	sleep(d.ctx, adapterPause)
+	return nil
+}
+
+// awaitModel waits for a change while the model can be ready in time.
+func (d *dispatcher) awaitModel(changed <-chan struct{}) *refusal {
+	g := d.gateway
+	done := g.exchanger.waiting.wait(d.model, d.begun)
+	defer done()
+	g.exchanger.hurry()
+	patience := min(d.route.Patience(), d.deadline.Sub(d.begun))
+	if d.relay.begun {
+		patience = d.deadline.Sub(d.begun)
+	}
+	for {
+		now := time.Now()
+		left := patience - now.Sub(d.begun) - runTime
+		readyIn, known := g.exchanger.waiting.estimate(now, d.model)
+		switch {
+		case d.ctx.Err() != nil:
+			return d.timedOut()
+		case known && readyIn > left:
+			return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetry, readyIn)}
+		case left <= 0, !known && now.Sub(d.begun) > unknownWait:
+			return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetry}
+		}
+		timer := time.NewTimer(exchangeBusy)
+		select {
+		case <-changed:
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		case <-d.ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// timedOut is the answer when time is up or the caller has left.
+func (d *dispatcher) timedOut() *refusal {
+	if d.runs > 0 {
+		return &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetry}
+}
+
+// send makes one send. Again says that another one is to be tried.
+func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
+	if d.sends >= maxSends || d.dials >= maxDials {
+		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams refused", retryAfter: shortRetry}
+	}
+	if d.sends > 0 && !d.gateway.exchanger.budget.Allow(time.Now(), d.service.Name) {
+		return false, &refusal{status: http.StatusServiceUnavailable, reason: "retry budget used up", retryAfter: limitedRetry}
+	}
+	id := candidate.Upstream.ID
+	d.record.upstream = id
+	leave := d.gateway.directory.Enter(id, d.request.Model)
+	defer leave()
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	answer, err := d.gateway.pool.Do(ctx, d.message(candidate.Upstream))
+	if err != nil {
+		return d.afterFailure(id, err)
+	}
+	defer answer.Close()
+	d.sends++
+	d.record.sends++
+	switch d.gateway.dialect.Judge(d.request.ID, answer.Status, answer.Header) {
+	case call.NotRun:
+		return d.afterNotRun(id, answer)
+	case call.Foreign:
+		d.runs++
+		return d.afterLoss(id, "answer not understood", OutcomeFailed)
+	}
+	d.runs++
+	return d.pass(id, answer)
+}
+
+func (d *dispatcher) message(to *catalog.Upstream) *upstream.Message {
+	send := &call.Send{
+		Request: d.request, Deadline: time.Until(d.deadline), Upstream: to, Priority: -1, LastEventID: d.relay.lastEventID,
+	}
+	if d.workspace != nil {
+		send.Workspace = d.workspace.Name
+	}
+	if d.isEngine() {
+		send.Priority = min(maxPriority, priorityBase+d.priority())
+	}
+	return &upstream.Message{
+		Key: to.ID, Address: to.Address, Method: d.http.Method, Target: d.http.RequestURI, Host: d.http.Host,
+		Header: d.gateway.dialect.Header(d.http.Header, send), Body: d.body,
+	}
+}
+
+func (d *dispatcher) priority() int {
+	if d.workspace != nil && d.workspace.Priority >= 0 {
+		return d.workspace.Priority
+	}
+	return d.route.Priority
+}
+
+// afterFailure decides after a send without an answer.
+func (d *dispatcher) afterFailure(id string, err error) (bool, *refusal) {
+	var dial *upstream.DialError
+	if errors.As(err, &dial) {
+		d.dials++
+		d.tried[id] = true
+		if d.ctx.Err() != nil {
+			return false, d.timedOut()
+		}
+		d.gateway.directory.Report(id, OutcomeUnreachable)
+		d.log("No connection.", id, err)
+		return true, nil
+	}
+	d.sends++
+	d.record.sends++
+	d.runs++
+	if d.ctx.Err() != nil {
+		return false, d.timedOut()
+	}
+	d.gateway.pool.Forget(id)
+	d.log("Answer lost.", id, err)
+	return d.afterLoss(id, "answer lost", OutcomeUnreachable)
+}
+
+// afterNotRun decides after an upstream stated that it did not run the request.
+func (d *dispatcher) afterNotRun(id string, answer *upstream.Answer) (bool, *refusal) {
+	if _, err := drain(answer); err != nil {
+		d.log("Refusal not read whole.", id, err)
+	}
+	d.tried[id] = true
+	if d.gateway.dialect.Absent(answer.Status) && d.isEngine() {
+		d.gateway.directory.NoteAbsent(id, d.request.Model, d.request.Adapter)
+	}
+	d.gateway.log.Info("Upstream did not run the request.", "request", d.request.ID, "upstream", id, "status", answer.Status,
+		"sends", d.sends)
+	return true, nil
+}
+
+// afterLoss decides after a run whose answer is lost or broken.
+func (d *dispatcher) afterLoss(id, reason string, outcome Outcome) (bool, *refusal) {
+	d.gateway.directory.Report(id, outcome)
+	d.tried[id] = true
+	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil {
+		return true, nil
+	}
+	return false, &refusal{status: http.StatusBadGateway, reason: reason}
+}
+
+func (d *dispatcher) log(message, id string, err error) {
+	d.gateway.log.Info(message, "request", d.request.ID, "upstream", id, "sends", d.sends, "runs", d.runs, "error", err.Error())
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/arbutusbank/arbutusbank/internal/allowance"
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/lease"
+)
+
+const (
+	// exchangeEvery is the period of exchanges with the coordinator;
+	// exchangeBusy applies while requests wait for a model or an allowance.
+	exchangeEvery = 200 * time.Millisecond
+	exchangeBusy  = 80 * time.Millisecond
+	// exchangeGap is the least time between two exchanges.
+	exchangeGap = 40 * time.Millisecond
+	// exchangeTimeout bounds an exchange.
+	exchangeTimeout = 500 * time.Millisecond
+	// reachedFor is how long the coordinator counts as reached.
+	reachedFor = time.Second
+	// adapterTimeout bounds the call for an adapter.
+	adapterTimeout = 900 * time.Millisecond
+)
+
+// exchanger talks to the coordinator on behalf of this host. It is safe for
+// concurrent use.
+type exchanger struct {
+	settings    *Settings
+	log         logr.Logger
+	keeper      *lease.Keeper
+	coordinator *coordinator.Coordinator
+	client      coordinator.Client
+	config      func() *catalog.Config
+	directory   *Directory
+	waiting     *waitingBook
+	bank        *allowance.Bank
+	budget      *Budget
+
+	wake     chan struct{}
+	reached  atomic.Int64 // end of the last exchange, on the boot clock
+	hosts    atomic.Int64
+	adapters adapterCalls
+}
+
+// Reached reports whether the coordinator answers.
+func (e *exchanger) Reached() bool {
+	at := e.reached.Load()
+	return at != 0 && clock.SinceBoot()-time.Duration(at) < reachedFor
+}
+
+// hurry makes the next exchange happen soon.
+func (e *exchanger) hurry() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run exchanges until the context ends.
+func (e *exchanger) run(ctx context.Context) {
+	connected := false
+	for ctx.Err() == nil {
+		begun := time.Now()
+		err := e.once(ctx)
+		if err == nil != connected && ctx.Err() == nil {
+			connected = err == nil
+			e.log.Info("Coordinator contact changed.", "reached", connected, "coordinator", e.keeper.Coordinator().Holder,
+				"epoch", e.keeper.Coordinator().Epoch, "error", errorText(err))
+		}
+		e.pause(ctx, begun)
+	}
+}
+
+func (e *exchanger) pause(ctx context.Context, begun time.Time) {
+	period := exchangeEvery
+	if e.waiting.any() {
+		period = exchangeBusy
+	}
+	timer := time.NewTimer(period - min(period, time.Since(begun)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-e.wake:
+		sleep(ctx, exchangeGap)
+	}
+}
+
+// once makes one exchange.
+func (e *exchanger) once(ctx context.Context) error {
+	request := e.request()
+	reply, err := e.call(ctx, request)
+	if err != nil {
+		return err
+	}
+	if !reply.Holder {
+		return &NoCoordinatorError{Asked: e.keeper.Coordinator().Holder}
+	}
+	now := clock.SinceBoot()
+	e.reached.Store(int64(now))
+	e.hosts.Store(int64(reply.Hosts))
+	e.budget.SetHosts(reply.Hosts)
+	e.waiting.hear(time.Now(), reply.Estimates)
+	e.directory.ApplyExchange(reply)
+	e.bank.Apply(now, reply.Grants)
+	return nil
+}
+
+func (e *exchanger) request() *coordinator.ExchangeRequest {
+	epoch, version := e.directory.ViewVersion()
+	request := &coordinator.ExchangeRequest{
+		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
+		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
+	}
+	if config := e.config(); config != nil {
+		request.Needs = e.bank.Needs(clock.SinceBoot(), config.Workspaces)
+	}
+	return request
+}
+
+func (e *exchanger) call(ctx context.Context, request *coordinator.ExchangeRequest) (*coordinator.ExchangeReply, error) {
+	record := e.keeper.Coordinator()
+	if record.Holder == e.settings.Host {
+		return e.Exchange(ctx, request), nil
+	}
+	if record.Address == "" {
+		return nil, &NoCoordinatorError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return e.client.Exchange(ctx, record.Address, request)
+}
+
+// Exchange implements coordinator.Service.
+func (e *exchanger) Exchange(_ context.Context, request *coordinator.ExchangeRequest) *coordinator.ExchangeReply {
+	return e.coordinator.Exchange(e.keeper.Coordinator().Epoch, request)
+}
+
+// Adapter implements coordinator.Service.
+func (e *exchanger) Adapter(ctx context.Context, request *coordinator.AdapterRequest) *coordinator.AdapterReply {
+	return e.coordinator.Adapter(ctx, request)
+}
+
+// NoCoordinatorError reports that no host coordinates as far as is known.
+type NoCoordinatorError struct{ Asked string }
+
+// Error implements error.
+func (e *NoCoordinatorError) Error() string { return "no coordinator; asked " + e.Asked }
+
+// adapterCalls makes one call at a time for each adapter.
+type adapterCalls struct {
+	mu      sync.Mutex
+	pending map[adapterKey]*adapterCall
+}
+
+type adapterKey struct {
+	coordinator.ModelKey
+	adapter string
+}
+
+type adapterCall struct {
+	done  chan struct{}
+	reply *coordinator.AdapterReply
+	err   error
+}
+
+// loadAdapter asks the coordinator for an adapter, together with other
+// requests for the same one.
+func (e *exchanger) loadAdapter(ctx context.Context, key coordinator.ModelKey, adapter string) (*coordinator.AdapterReply, error) {
+	id := adapterKey{key, adapter}
+	e.adapters.mu.Lock()
+	if e.adapters.pending == nil {
+		e.adapters.pending = map[adapterKey]*adapterCall{}
+	}
+	pending := e.adapters.pending[id]
+	if pending == nil {
+		pending = &adapterCall{done: make(chan struct{})}
+		e.adapters.pending[id] = pending
+		go e.callAdapter(id, pending)
+	}
+	e.adapters.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-pending.done:
+		return pending.reply, pending.err
+	}
+}
+
+func (e *exchanger) callAdapter(id adapterKey, pending *adapterCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), adapterTimeout)
+	defer cancel()
+	request := &coordinator.AdapterRequest{Host: e.settings.Host, ModelKey: id.ModelKey, Adapter: id.adapter}
+	record := e.keeper.Coordinator()
+	if record.Holder == e.settings.Host {
+		pending.reply = e.Adapter(ctx, request)
+	} else {
+		pending.reply, pending.err = e.client.Adapter(ctx, record.Address, request)
+	}
+	if pending.err == nil && pending.reply.Upstream != "" {
+		sleep(ctx, time.Duration(pending.reply.ReadyInMS)*time.Millisecond)
+		e.directory.NoteAdapter(pending.reply.Upstream, id.Model, id.adapter)
+	}
+	e.adapters.mu.Lock()
+	delete(e.adapters.pending, id)
+	e.adapters.mu.Unlock()
+	close(pending.done)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+func newMetrics(g *Gateway) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gateway_requests_total", Help: "Requests by route and status (0: the caller left, 1: broken off).",
+		}, []string{"route", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gateway_request_seconds", Help: "Time from the request's arrival to its end.",
+			Buckets: []float64{.01, .03, .1, .3, 1, 3, 10, 30},
+		}, []string{"route"}),
+	}
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+	}
+	m.registry.MustRegister(m.requests, m.latency,
+		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
+		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
+		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
+		gauge("gateway_coordinator", "1 if this host coordinates the fleet.", func() float64 { return one(g.keeper.Held()) }),
+		gauge("gateway_coordinator_reached", "1 if the coordinator answers this host.", func() float64 { return one(g.exchanger.Reached()) }),
+		gauge("gateway_ready", "1 if the host reports ready.", func() float64 { return one(g.Ready()) }),
+		gauge("gateway_log_lines_dropped", "Log lines that were dropped because the output was slow.", g.dropped),
+	)
+	return m
+}
+
+func one(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+func (m *metrics) request(route string, status int, took time.Duration) {
+	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,283 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/table"
+)
+
+// Table and key of the lease.
+const (
+	Table = "arbutusbank"
+	Key   = "coordinator"
+)
+
+const (
+	// renewEvery is the period of renewals.
+	renewEvery = 600 * time.Millisecond
+	// lookEvery is the period of reads while the coordinator is not reached.
+	lookEvery = 400 * time.Millisecond
+	// lookSpread is added at random, so that hosts do not claim all at once.
+	lookSpread = 250 * time.Millisecond
+	// callTimeout bounds a call to the table service.
+	callTimeout = 900 * time.Millisecond
+	// releaseTimeout bounds the release at shutdown.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// Keeper claims and renews the lease for one host. It is safe for concurrent use.
+type Keeper struct {
+	Host    string
+	Address string
+	Terms   Terms
+	Store   table.Committer
+	Log     logr.Logger
+	// Hosts returns the hosts to be named in the row.
+	Hosts func() []string
+	// Reached reports whether the coordinator answers this host, so that no
+	// look at the row is needed.
+	Reached func() bool
+	// Taken is called when this host has taken the lease, with the last
+	// holder's record. Orders may be given from the time of OrdersFrom.
+	Taken func(last Record)
+
+	mu         sync.Mutex
+	seen       Observation
+	held       bool
+	validUntil time.Duration
+	ordersFrom time.Duration
+	closing    bool
+}
+
+// Status is a snapshot of the lease as this host knows it.
+type Status struct {
+	Record     Record        `json:"record"`
+	Held       bool          `json:"held"`
+	Epoch      int64         `json:"epoch"`
+	ValidFor   time.Duration `json:"valid_for_ns"`
+	OrdersFrom time.Duration `json:"orders_from_ns"` // from now; negative: in the past
+}
+
+// Status returns the state of the lease.
+func (k *Keeper) Status() Status {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Status{
+		Record: k.seen.Record, Held: k.held && now < k.validUntil, Epoch: k.seen.Record.Epoch,
+		ValidFor: k.validUntil - now, OrdersFrom: k.ordersFrom - now,
+	}
+}
+
+// Held reports whether this host coordinates now.
+func (k *Keeper) Held() bool {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held && now < k.validUntil
+}
+
+// MayOrder returns the fencing number if this host may give orders now and
+// for the time that an order takes to arrive.
+func (k *Keeper) MayOrder(arrival time.Duration) (fence int64, ok bool) {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.held || k.closing || now < k.ordersFrom || now+arrival >= k.validUntil {
+		return 0, false
+	}
+	return k.seen.Record.Epoch, true
+}
+
+// Coordinator returns the record that was last seen.
+func (k *Keeper) Coordinator() Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seen.Record
+}
+
+// Run keeps the lease or watches it until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.look(ctx)
+	for ctx.Err() == nil {
+		switch {
+		case k.isHolder():
+			k.renew(ctx)
+			pause(ctx, renewEvery)
+		default:
+			pause(ctx, lookEvery+rand.N(lookSpread))
+			if !k.Reached() {
+				k.look(ctx)
+			}
+		}
+	}
+}
+
+func (k *Keeper) isHolder() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held
+}
+
+// look reads the row and claims the lease if it is free.
+func (k *Keeper) look(ctx context.Context) {
+	row, err := k.get(ctx)
+	if err != nil {
+		return
+	}
+	now := clock.SinceBoot()
+	record, err := Decode(row.Value)
+	if err != nil {
+		k.Log.Error(err, "Lease row not understood; it counts as held by nobody known.")
+	}
+	k.mu.Lock()
+	if row.Revision != k.seen.Revision || k.seen.Since == 0 {
+		k.seen = Observation{Record: record, Revision: row.Revision, Since: now}
+	}
+	last, closing := k.seen, k.closing
+	k.mu.Unlock()
+	if !closing && k.Terms.Claimable(last, k.Host, now) {
+		k.claim(ctx, last)
+	}
+}
+
+func (k *Keeper) get(ctx context.Context) (table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Store.Get(ctx, Table, Key)
+}
+
+func (k *Keeper) claim(ctx context.Context, last Observation) {
+	asked := clock.SinceBoot()
+	record := Record{Holder: k.Host, Address: k.Address, Epoch: last.Record.Epoch + 1, Renewal: rand.Int64(), Hosts: last.Record.Hosts}
+	revision, err := k.write(ctx, last.Revision, record)
+	if err != nil {
+		k.Log.Info("Lease not taken.", "epoch", record.Epoch, "last_holder", last.Record.Holder, "error", err.Error())
+		return
+	}
+	k.mu.Lock()
+	k.ordersFrom = k.Terms.OrdersFrom(last, k.Host, asked)
+	k.validUntil = asked + k.Terms.Duration
+	k.seen = Observation{Record: record, Revision: revision, Since: clock.SinceBoot()}
+	k.held = true
+	wait := k.ordersFrom - asked
+	k.mu.Unlock()
+	k.Log.Info("Lease taken.", "epoch", record.Epoch, "revision", revision, "last_holder", last.Record.Holder,
+		"last_seen_ms", (asked - last.Since).Milliseconds(), "orders_in_ms", wait.Milliseconds())
+	k.Taken(last.Record)
+}
+
+// renew extends the lease. A lost answer is resolved by reading the row.
+func (k *Keeper) renew(ctx context.Context) {
+	k.mu.Lock()
+	last := k.seen
+	active := clock.SinceBoot() >= k.ordersFrom
+	k.mu.Unlock()
+	record := last.Record
+	record.Active = active
+	record.Hosts = k.Hosts()
+	record.Renewal = rand.Int64()
+	asked := clock.SinceBoot()
+	revision, err := k.write(ctx, last.Revision, record)
+	if err == nil {
+		k.extend(record, revision, asked)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.Log.Info("Lease not renewed.", "epoch", record.Epoch, "valid_for_ms", k.Status().ValidFor.Milliseconds(), "error", err.Error())
+	k.resolve(ctx, record, asked)
+}
+
+// resolve finds out whether a renewal without an answer was performed.
+func (k *Keeper) resolve(ctx context.Context, tried Record, asked time.Duration) {
+	row, err := k.get(ctx)
+	if err != nil {
+		return // tried again with the next renewal
+	}
+	current, err := Decode(row.Value)
+	if err != nil {
+		k.Log.Error(err, "Lease row not understood.")
+		return
+	}
+	if current.Holder == k.Host && current.Epoch == tried.Epoch {
+		if current.Renewal == tried.Renewal {
+			k.extend(current, row.Revision, asked)
+			return
+		}
+		k.mu.Lock()
+		k.seen.Revision, k.seen.Record = row.Revision, current
+		k.mu.Unlock()
+		return
+	}
+	k.mu.Lock()
+	k.held = false
+	k.seen = Observation{Record: current, Revision: row.Revision, Since: clock.SinceBoot()}
+	k.mu.Unlock()
+	k.Log.Info("Lease lost.", "epoch", tried.Epoch, "holder", current.Holder, "holder_epoch", current.Epoch)
+}
+
+func (k *Keeper) extend(record Record, revision int64, asked time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seen = Observation{Record: record, Revision: revision, Since: clock.SinceBoot()}
+	k.validUntil = asked + k.Terms.Duration
+}
+
+func (k *Keeper) write(ctx context.Context, expected int64, record Record) (int64, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, &DecodeError{Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Store.Put(ctx, Table, Key, expected, value)
+}
+
+// Stop ends orders at once and releases the lease, for a graceful shutdown.
+func (k *Keeper) Stop(ctx context.Context) {
+	k.mu.Lock()
+	k.closing = true
+	held, last := k.held, k.seen
+	k.mu.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	record := last.Record
+	record.Released = true
+	record.Renewal = rand.Int64()
+	_, err := k.write(ctx, last.Revision, record)
+	k.mu.Lock()
+	k.held = false
+	k.mu.Unlock()
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		k.Log.Info("Lease had changed before its release.", "epoch", record.Epoch)
+		return
+	}
+	if err != nil {
+		k.Log.Info("Lease not released; others take it when it ends.", "epoch", record.Epoch, "error", err.Error())
+		return
+	}
+	k.Log.Info("Lease released.", "epoch", record.Epoch)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,92 @@
+// Package lease decides which host coordinates the fleet. The lease is one row
+// of the platform's table service. The decisions are pure; Keeper does the I/O.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Record is the row of the lease.
+type Record struct {
+	Holder  string `json:"holder"`  // host
+	Address string `json:"address"` // IP:port for other hosts
+	// Epoch grows with each change of the holding process.
+	Epoch int64 `json:"epoch"`
+	// Renewal distinguishes the holder's writes.
+	Renewal int64 `json:"renewal"`
+	// Active says that the holder's time to wait for the last holder is over.
+	Active bool `json:"active,omitempty"`
+	// Released says that the holder orders no more.
+	Released bool `json:"released,omitempty"`
+	// Hosts are the hosts that the holder has given rights to.
+	Hosts []string `json:"hosts,omitempty"`
+}
+
+// DecodeError reports a lease row that can't be understood.
+type DecodeError struct{ Cause error }
+
+// Error implements error.
+func (e *DecodeError) Error() string { return fmt.Sprintf("lease row: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// Decode parses a row; an empty one is the zero Record.
+func Decode(value []byte) (Record, error) {
+	var record Record
+	if len(value) == 0 {
+		return record, nil
+	}
+	if err := json.Unmarshal(value, &record); err != nil {
+		return Record{}, &DecodeError{Cause: err}
+	}
+	return record, nil
+}
+
+// Terms are the durations of a lease.
+type Terms struct {
+	// Duration is how long a renewal is valid, from the start of its call.
+	Duration time.Duration
+	// Handover is the time between the last order of a holder and the first
+	// one of the next, on another machine.
+	Handover time.Duration
+	// Slack covers clocks that run at different speeds and orders on their way.
+	Slack time.Duration
+}
+
+// Observation is what a host has seen of the row. Times are on the clock that
+// includes suspension.
+type Observation struct {
+	Record   Record
+	Revision int64
+	// Since is when this host first saw the revision (the call's end).
+	Since time.Duration
+}
+
+// Claimable reports whether a host may try to take the lease.
+func (t Terms) Claimable(o Observation, host string, now time.Duration) bool {
+	switch {
+	case o.Revision == 0, o.Record.Released:
+		return true
+	case o.Record.Holder == host:
+		return true // an earlier process of this machine
+	default:
+		return now-o.Since > t.Duration+t.Slack
+	}
+}
+
+// OrdersFrom returns when a host that has just taken the lease may order. The
+// last holder's orders have ended by then: it may have renewed right before it
+// was last seen, and stops when that renewal ends.
+func (t Terms) OrdersFrom(last Observation, host string, now time.Duration) time.Duration {
+	switch {
+	case last.Revision == 0, last.Record.Holder == host && last.Record.Active:
+		return now
+	case last.Record.Released:
+		return last.Since + t.Handover + t.Slack
+	default:
+		return last.Since + t.Duration + t.Handover + t.Slack
+	}
+}
--- a/internal/server/command.go
+++ b/internal/server/command.go
@@ -16,6 +16,6 @@
 
 func newRootCommand() *cobra.Command {
 	root := cli.NewRoot("arbutusbank", "Serving system for rarely used models")
-	root.AddCommand(newServeCommand(), newCheckCommand())
+	root.AddCommand(newServeCommand(), newGatewayCommand(), newCheckCommand())
 	return root
 }
--- /dev/null
+++ b/internal/upstream/peek.go
@@ -0,0 +1,26 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// peekPending reports whether a socket has bytes waiting, has ended or fails.
+func peekPending(socket net.Conn) bool {
+	source, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending := true
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = !errors.Is(err, syscall.EAGAIN)
+	})
+	return pending || err != nil
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,136 @@
+// Package upstream sends requests to upstreams over HTTP/1.1 and never repeats
+// one by itself. A connection is used again only after an answer that was
+// complete and left nothing behind.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection. A sound upstream
+	// answers within a few milliseconds; a dark one never does.
+	connectTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose sent bytes are not acknowledged.
+	userTimeout = 2 * time.Second
+	// keepAliveInterval finds connections that went silent while they wait.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	// idleMargin is kept between the idle time that an upstream states and the
+	// last use of a connection.
+	idleMargin = 1500 * time.Millisecond
+	// defaultIdle is used where an upstream states no idle time.
+	defaultIdle = 4 * time.Second
+	// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
+	tcpUserTimeout = 0x12
+)
+
+// DialError reports that no connection could be opened; nothing was sent.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return fmt.Sprintf("connect to %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// Pool keeps idle connections by upstream. It is safe for concurrent use.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn // by upstream ID, newest last
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+
+// take returns an idle connection, or nil.
+func (p *Pool) take(key string) *conn {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[key]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[key] = list
+		if now.Before(c.usableUntil) && c.quiet() {
+			return c
+		}
+		c.close()
+	}
+	delete(p.idle, key)
+	return nil
+}
+
+func (p *Pool) put(key string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[key] = append(p.idle[key], c)
+}
+
+// Forget closes the idle connections to an upstream.
+func (p *Pool) Forget(key string) {
+	p.mu.Lock()
+	list := p.idle[key]
+	delete(p.idle, key)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.usableUntil) {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, key)
+			continue
+		}
+		p.idle[key] = kept
+	}
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout: connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+		Control: setUserTimeout,
+	}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	return newConn(socket), nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
