Take order counts from reports, and wait for orders of earlier coordinators

Change: the count comes from reports; an engine that is busy is asked again; second replicas of busy models go before rare ones; the coordinator tells how long its lease holds, so that the next one waits less.

--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -17,9 +17,9 @@
 	Holdings Holdings
 }
 
-// Holdings is what an engine holds, as of an order count.
+// Holdings is what an engine holds. Entries leave out the order count.
 type Holdings struct {
-	OrderSeq int64 // orders accepted since the start
+	OrderSeq int64 // orders accepted since the start; known from reports only
 	Busy     bool  // an order is in progress; known from reports only
 	// Models maps a model to the adapters that are loaded for it.
 	Models   map[string][]string
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -20,6 +20,9 @@
 	// swapTime is the time, beside the load itself, until a model that is to
 	// replace another one can serve.
 	swapTime = 700 * time.Millisecond
+	// downHosts is the number of hosts that must not reach an engine before it
+	// counts as down.
+	downHosts = 2
 	// rateWindow is the window of the weight store's rate.
 	rateWindow = 5 * time.Second
 	// estimateLimit is the longest time for which a load in the queue of the
@@ -30,6 +33,8 @@
 // Lease tells whether this host may give orders.
 type Lease interface {
 	Held() bool
+	// Validity returns the revision of the lease's row and how long it holds.
+	Validity() (revision int64, validFor time.Duration)
 	// MayOrder returns the fencing number if an order may be given that
 	// arrives within the time.
 	MayOrder(arrival time.Duration) (fence int64, ok bool)
@@ -102,7 +107,10 @@
 	defer c.mu.Unlock()
 	c.ledger.Hear(now, request.Host)
 	c.demand.note(now, request)
-	reply := &ExchangeReply{Holder: true, Epoch: epoch, Hosts: len(c.ledger.Hosts())}
+	revision, validFor := c.lease.Validity()
+	reply := &ExchangeReply{
+		Holder: true, Epoch: epoch, Revision: revision, ValidForMS: validFor.Milliseconds(), Hosts: len(c.ledger.Hosts()),
+	}
 	if config != nil {
 		reply.Grants = c.grants(now, config, request)
 	}
@@ -193,6 +201,8 @@
 	c.ledger.Forget(now)
 	c.demand.forget(now)
 	c.observe(now, upstreams, config)
+	c.noteUnreachable()
+	c.ask(ctx, now)
 	c.estimates = c.estimates[:0]
 	for _, service := range config.Services {
 		if service.Engine != nil {
@@ -217,8 +227,7 @@
 			continue
 		}
 		if engine.upstream != upstream {
-			engine.upstream = upstream
-			engine.learn(mergeCopies(upstream.Holdings, engine.holdings))
+			engine.noteEntry(upstream)
 			c.viewDirty = true
 		}
 	}
@@ -230,14 +239,40 @@
 	}
 }
 
-// mergeCopies keeps adapters of the same order count: entries do not always
-// name the ones that were loaded last.
-func mergeCopies(entry, known catalog.Holdings) catalog.Holdings {
-	if entry.OrderSeq == known.OrderSeq {
-		entry.Models = known.Models
-		entry.Pending = known.Pending
+// noteUnreachable marks the engines that several hosts do not reach.
+func (c *Coordinator) noteUnreachable() {
+	counts := c.demand.unreachable()
+	needed := min(downHosts, len(c.demand.hosts))
+	for id, engine := range c.fleet {
+		down := counts[id] > 0 && counts[id] >= needed
+		if down == engine.down {
+			continue
+		}
+		engine.down = down
+		c.viewDirty = true
+		c.log.Info("Engine's reachability changed.", "upstream", id, "down", down, "hosts", counts[id])
+	}
+}
+
+// ask reads the reports of engines whose content is not known.
+func (c *Coordinator) ask(ctx context.Context, now time.Duration) {
+	for _, engine := range c.fleet {
+		if engine.settled() || engine.occupied || engine.asking || engine.upstream.Leaving || now < engine.retryAt {
+			continue
+		}
+		engine.asking = true
+		c.actions.Add(1)
+		go func() {
+			defer c.actions.Done()
+			read := c.refresh(ctx, engine)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			engine.asking = false
+			if !read || !engine.settled() {
+				engine.retryAt = clock.SinceBoot() + failurePause
+			}
+		}()
 	}
-	return entry
 }
 
 func (c *Coordinator) planService(ctx context.Context, now time.Duration, service *catalog.Service) {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -28,9 +28,10 @@
 }
 
 type hostWord struct {
-	at      time.Duration
-	demand  []ModelDemand
-	running []RunningCount
+	at          time.Duration
+	demand      []ModelDemand
+	running     []RunningCount
+	unreachable []string
 }
 
 // demandBook collects what the hosts report. It is used by one goroutine at a time.
@@ -44,7 +45,7 @@
 }
 
 func (b *demandBook) note(now time.Duration, request *ExchangeRequest) {
-	b.hosts[request.Host] = hostWord{at: now, demand: request.Demand, running: request.Running}
+	b.hosts[request.Host] = hostWord{at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable}
 	for _, d := range request.Demand {
 		rate := b.rates[d.ModelKey]
 		if rate == nil {
@@ -67,6 +68,17 @@
 	}
 }
 
+// unreachable returns the number of hosts that do not reach each upstream.
+func (b *demandBook) unreachable() map[string]int {
+	counts := map[string]int{}
+	for _, word := range b.hosts {
+		for _, id := range word.unreachable {
+			counts[id]++
+		}
+	}
+	return counts
+}
+
 // of returns the demand for the models of a service.
 func (b *demandBook) of(now time.Duration, service string) map[string]*Demand {
 	demand := map[string]*Demand{}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -11,6 +11,8 @@
 type engineState struct {
 	upstream *catalog.Upstream
 	holdings catalog.Holdings
+	known    bool // a report was read, so the order count is known
+	asking   bool // a report is being read
 	occupied bool // an action is in progress here
 	loading  *Action
 	// readyAt is the expected end of loading.
@@ -22,7 +24,8 @@
 	adapters map[string]time.Duration // MODEL/ADAPTER, when it was last asked for
 	// retryAt is when an engine that failed is asked again.
 	retryAt time.Duration
-	ordered bool // this coordinator has given it an order
+	// down says that hosts do not reach it.
+	down bool
 }
 
 // unsureOrder may be carried out while the engine's order count is afterSeq.
@@ -39,12 +42,26 @@
 	}
 }
 
-// learn takes over holdings unless they are older than what is known.
+// noteEntry takes over an entry. Entries lag behind reports, so that once a
+// report was read only the copies of weights are taken from them.
+func (e *engineState) noteEntry(upstream *catalog.Upstream) {
+	e.upstream = upstream
+	if !e.known {
+		e.holdings = upstream.Holdings
+		return
+	}
+	if len(upstream.Holdings.OnDisk)+len(upstream.Holdings.InMemory) > 0 {
+		e.holdings.OnDisk, e.holdings.InMemory = upstream.Holdings.OnDisk, upstream.Holdings.InMemory
+	}
+}
+
+// learn takes over a report unless it is older than what is known.
 func (e *engineState) learn(h catalog.Holdings) {
-	if h.OrderSeq < e.holdings.OrderSeq {
+	if e.known && h.OrderSeq < e.holdings.OrderSeq {
 		return
 	}
 	e.holdings = h
+	e.known = true
 	e.unsure = slices.DeleteFunc(e.unsure, func(o unsureOrder) bool { return h.OrderSeq > o.afterSeq })
 }
 
@@ -54,6 +71,10 @@
 	e.unsure = slices.DeleteFunc(e.unsure, func(o unsureOrder) bool { return e.holdings.OrderSeq > o.afterSeq })
 }
 
+// settled reports whether the content is known: a report was read, and no order
+// was in progress then. An order of an earlier coordinator may still be.
+func (e *engineState) settled() bool { return e.known && !e.holdings.Busy }
+
 // reserved returns the models whose load may be carried out late.
 func (e *engineState) reserved() []string {
 	var models []string
@@ -70,7 +91,7 @@
 
 // ready reports whether a model can serve.
 func (e *engineState) ready(model string) bool {
-	if e.loading != nil && (e.loading.Load == model || slices.Contains(e.loading.Unload, model)) {
+	if e.down || e.loading != nil && (e.loading.Load == model || slices.Contains(e.loading.Unload, model)) {
 		return false
 	}
 	return e.holdings.Holds(model)
@@ -78,7 +99,7 @@
 
 func (e *engineState) view() EngineView {
 	view := EngineView{
-		Upstream: e.upstream.ID, Born: e.upstream.Born, OrderSeq: e.holdings.OrderSeq, Ready: map[string][]string{},
+		Upstream: e.upstream.ID, Born: e.upstream.Born, Ready: map[string][]string{},
 	}
 	for model, adapters := range e.holdings.Models {
 		if e.ready(model) {
@@ -91,8 +112,8 @@
 // planned returns the planner's view of the engine.
 func (e *engineState) planned(now time.Duration, running map[string]int) *Engine {
 	engine := &Engine{
-		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Leaving: e.upstream.Leaving,
-		Occupied: e.occupied || now < e.retryAt, Holdings: e.holdings, Reserved: e.reserved(),
+		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Leaving: e.upstream.Leaving || e.down,
+		Occupied: !e.settled() || e.occupied || now < e.retryAt, Holdings: e.holdings, Reserved: e.reserved(),
 		Running: running, LoadedAt: e.loadedAt,
 	}
 	if e.loading != nil {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -41,6 +41,8 @@
 	Demand      []ModelDemand             `json:"demand,omitempty"`
 	Running     []RunningCount            `json:"running,omitempty"`
 	Needs       map[string]allowance.Need `json:"needs,omitempty"`
+	// Unreachable are upstreams that refused or did not take connections.
+	Unreachable []string `json:"unreachable,omitempty"`
 }
 
 // Estimate says when a model will be ready.
@@ -53,7 +55,6 @@
 type EngineView struct {
 	Upstream string              `json:"upstream"`
 	Born     int64               `json:"born"`
-	OrderSeq int64               `json:"order_seq"`
 	Ready    map[string][]string `json:"ready"` // models and their adapters
 }
 
@@ -67,12 +68,15 @@
 type ExchangeReply struct {
 	// Holder says whether the host that was asked holds the lease. Without it
 	// all other fields are empty.
-	Holder    bool                       `json:"holder"`
-	Epoch     int64                      `json:"epoch"`
-	Hosts     int                        `json:"hosts"`
-	View      *View                      `json:"view,omitempty"` // nil: unchanged
-	Grants    map[string]allowance.Grant `json:"grants,omitempty"`
-	Estimates []Estimate                 `json:"estimates,omitempty"`
+	Holder bool  `json:"holder"`
+	Epoch  int64 `json:"epoch"`
+	// Revision is that of the lease's row, and ValidForMS how long it holds.
+	Revision   int64                      `json:"revision"`
+	ValidForMS int64                      `json:"valid_for_ms"`
+	Hosts      int                        `json:"hosts"`
+	View       *View                      `json:"view,omitempty"` // nil: unchanged
+	Grants     map[string]allowance.Grant `json:"grants,omitempty"`
+	Estimates  []Estimate                 `json:"estimates,omitempty"`
 	// Running counts the requests of all other hosts at each upstream.
 	Running []RunningCount `json:"running,omitempty"`
 }
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -29,6 +29,8 @@
 	failurePause = 700 * time.Millisecond
 	// adapterTime is the expected time of loading an adapter.
 	adapterTime = 16 * time.Millisecond
+	// busyPause separates orders to an engine that is busy.
+	busyPause = 60 * time.Millisecond
 	// unloadWait bounds the wait for an unload, which waits for runs to end.
 	unloadWait = 6 * time.Second
 )
@@ -38,7 +40,7 @@
 func (c *Coordinator) carryOut(ctx context.Context, engine *engineState, action *Action) {
 	defer c.finish(engine, action)
 	for _, model := range action.Unload {
-		if !c.perform(ctx, engine, Order{Unload: true, Model: model}, 0) {
+		if !c.unload(ctx, engine, model) {
 			return
 		}
 	}
@@ -48,6 +50,21 @@
 	c.perform(ctx, engine, Order{Model: action.Load}, action.Takes)
 }
 
+// unload gives an unload. Its end is seen by the next order being accepted,
+// which is cheaper than reports.
+func (c *Coordinator) unload(ctx context.Context, engine *engineState, model string) bool {
+	if _, ok := c.give(ctx, engine, Order{Unload: true, Model: model}); !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	models := cloneModels(engine.holdings.Models)
+	delete(models, model)
+	engine.holdings.Models = models
+	c.viewDirty = true
+	return true
+}
+
 func (c *Coordinator) finish(engine *engineState, action *Action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -62,7 +79,7 @@
 // perform gives one order and waits until it is carried out. It reports
 // whether the engine holds (or no longer holds) the model afterwards.
 func (c *Coordinator) perform(ctx context.Context, engine *engineState, order Order, takes time.Duration) bool {
-	result, ok := c.give(ctx, engine, order)
+	result, ok := c.giveWhenFree(ctx, engine, order)
 	if !ok {
 		return false
 	}
@@ -71,9 +88,6 @@
 		return true
 	}
 	limit := takes*overtime + time.Second
-	if order.Unload {
-		limit = unloadWait
-	}
 	begun := clock.SinceBoot()
 	pause(ctx, takes)
 	for ctx.Err() == nil && clock.SinceBoot()-begun < limit {
@@ -96,6 +110,19 @@
 	return !engine.holdings.Busy && engine.holdings.Holds(order.Model) != order.Unload
 }
 
+// giveWhenFree gives an order, again and again while the engine is still busy
+// with the one before.
+func (c *Coordinator) giveWhenFree(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+	begun := clock.SinceBoot()
+	for {
+		result, ok := c.give(ctx, engine, order)
+		if ok || result != OrderConflict || clock.SinceBoot()-begun > unloadWait || ctx.Err() != nil {
+			return result, ok
+		}
+		pause(ctx, busyPause)
+	}
+}
+
 // give sends an order with the engine's order count, so that an earlier one
 // whose answer was lost can't be carried out after it.
 func (c *Coordinator) give(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
@@ -125,11 +152,20 @@
 	if result == OrderAccepted || result == OrderHolds {
 		return result, true
 	}
-	c.refresh(ctx, engine)
+	if result != OrderConflict || !c.busy(engine) {
+		c.refresh(ctx, engine)
+	}
 	c.fail(engine)
 	return result, false
 }
 
+// busy reports whether the engine was given an order that may be in progress.
+func (c *Coordinator) busy(engine *engineState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return engine.holdings.Busy
+}
+
 func loadOf(order Order) string {
 	if order.Unload {
 		return ""
@@ -157,7 +193,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if holdings.OrderSeq < engine.holdings.OrderSeq {
+	if engine.known && holdings.OrderSeq < engine.holdings.OrderSeq {
 		return false
 	}
 	if len(holdings.OnDisk) == 0 && len(holdings.InMemory) == 0 {
@@ -230,7 +266,7 @@
 		if slices.Contains(e.holdings.Models[request.Model], request.Adapter) {
 			return e, true
 		}
-		if !e.occupied && now >= e.retryAt {
+		if e.settled() && !e.occupied && now >= e.retryAt {
 			byID[id] = e
 			ids = append(ids, id)
 		}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// replicaLoad is the number of concurrent requests of a model that one
-	// replica is to carry before another one is loaded.
-	replicaLoad = 12
+	// replicaRate is the rate of a model, in requests per second, that one
+	// replica is to carry: reading prompts holds up the streams beside it.
+	replicaRate = 2.5
+	// replicaLoad is the number of concurrent requests that one replica is to carry.
+	replicaLoad = 10
+	// unservedValue and waitingValue weigh requests that no replica serves in
+	// time, in requests per second and in number.
+	unservedValue = 10.0
+	waitingValue  = 2.0
 	// spareRate is the rate, in requests per second, from which a model has a
 	// second replica, so that the loss of one engine does not stop it.
 	spareRate = 1.0
@@ -28,6 +34,8 @@
 	// prefetchIdle is how long a model must not have been asked for before it
 	// yields to one that is only loaded ahead.
 	prefetchIdle = 1500 * time.Millisecond
+	// aheadValue is below that of any model that is asked for.
+	aheadValue = 0.01
 	// loadPenalty multiplies the rate of an engine with many requests when a
 	// place for a model is chosen.
 	loadPenalty = 0.05
@@ -146,17 +154,19 @@
 	if coming > 0 {
 		return need{}, false
 	}
+	unserved := max(0, demand.Rate-replicaRate*float64(ready), float64(demand.Running-replicaLoad*ready)/replicaLoad)
+	value := unservedValue*unserved + waitingValue*float64(demand.Waiting)
 	switch {
 	case ready == 0 && demand.Waiting > 0:
-		return need{model: model, value: 1000 + float64(demand.Waiting) + demand.Oldest.Seconds(), reason: "waiting"}, true
+		return need{model: model, value: value + demand.Oldest.Seconds(), reason: "waiting"}, true
 	case ready == 0 && demand.Rate >= keepRate:
-		return need{model: model, value: 900 + demand.Rate, reason: "asked for"}, true
-	case ready > 0 && demand.Running > ready*replicaLoad:
-		return need{model: model, value: 500 + float64(demand.Running)/float64(ready), reason: "loaded"}, true
+		return need{model: model, value: value, reason: "asked for"}, true
+	case ready > 0 && unserved > 0:
+		return need{model: model, value: value, reason: "loaded"}, true
 	case ready == 1 && demand.Rate >= spareRate:
-		return need{model: model, value: 100 + demand.Rate, reason: "spare"}, true
+		return need{model: model, value: demand.Rate, reason: "spare"}, true
 	case ready == 0 && copies == 0 && p.Prefetch:
-		return need{model: model, value: demand.Rate, reason: "ahead", ahead: true}, true
+		return need{model: model, value: aheadValue + demand.Rate/100, reason: "ahead", ahead: true}, true
 	}
 	return need{}, false
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -33,6 +33,8 @@
 	avoidUntil time.Time
 	penalty    time.Duration
 	failures   float64 // rate of failed requests, 0 to 1
+	// unreachable says that the last connection could not be opened.
+	unreachable bool
 }
 
 // runningKey names the requests of a model at an upstream.
@@ -220,6 +222,20 @@
 	return counts
 }
 
+// Unreachable returns the upstreams that this host does not reach.
+func (d *Directory) Unreachable() []string {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for id, h := range d.health {
+		if h.unreachable && now.Before(h.avoidUntil.Add(firstPenalty)) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Enter counts a request at an upstream until the returned function is called.
 func (d *Directory) Enter(id, model string) (leave func()) {
 	key := runningKey{id, model}
@@ -252,8 +268,9 @@
 	h.failures += failureWeight * (failed - h.failures)
 	switch outcome {
 	case OutcomeServed:
-		h.penalty, h.avoidUntil = 0, time.Time{}
-	case OutcomeUnreachable:
+		h.penalty, h.avoidUntil, h.unreachable = 0, time.Time{}, false
+	case OutcomeUnreachable, OutcomeBroken:
+		h.unreachable = outcome == OutcomeUnreachable
 		h.penalty = min(max(2*h.penalty, firstPenalty), maxPenalty)
 		h.avoidUntil = time.Now().Add(h.penalty)
 	}
@@ -266,7 +283,8 @@
 const (
 	OutcomeServed      Outcome = iota
 	OutcomeFailed              // answered with a failure, or with a broken answer
-	OutcomeUnreachable         // no connection, or the connection broke
+	OutcomeBroken              // the connection broke
+	OutcomeUnreachable         // no connection
 )
 
 // Candidate is an upstream that may take a request.
@@ -309,11 +327,11 @@
 	return candidates
 }
 
-// holds returns the adapters that an engine has for a model, from the entry or
-// from the coordinator's view, whichever knows more orders.
+// holds returns the adapters that an engine has for a model: as the
+// coordinator knows it, else as the entry says, which lags behind orders.
 func (d *Directory) holds(entry *catalog.Upstream, model string) ([]string, bool) {
 	view, ok := d.engines[entry.ID]
-	if ok && view.Born == entry.Born && view.OrderSeq >= entry.Holdings.OrderSeq {
+	if ok && view.Born == entry.Born {
 		adapters, holds := view.Ready[model]
 		return adapters, holds
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -114,20 +114,18 @@
 	for {
 		changed := d.gateway.directory.Changed()
 		candidates := d.gateway.directory.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
-		if candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried); candidate != nil {
-			if candidate.Adapter {
-				return candidate, nil
-			}
-			if refused := d.askAdapter(&asked); refused != nil {
-				return nil, refused
-			}
-			continue
-		}
-		if len(candidates) > 0 && d.runs == 0 {
+		candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		switch {
+		case candidate == nil && len(candidates) > 0 && d.runs == 0:
 			sleep(d.ctx, notRunPause)
 			clear(d.tried)
-			if d.ctx.Err() != nil {
-				return nil, d.timedOut()
+		case candidate == nil || candidate.Avoid:
+			// Nothing that works: another replica may become ready.
+		case candidate.Adapter:
+			return candidate, nil
+		default:
+			if refused := d.askAdapter(&asked); refused != nil {
+				return nil, refused
 			}
 			continue
 		}
@@ -157,7 +155,7 @@
 	return nil
 }
 
-// awaitModel waits for a change while the model can be ready in time.
+// awaitModel waits a moment for a change if the model can be ready in time.
 func (d *dispatcher) awaitModel(changed <-chan struct{}) *refusal {
 	g := d.gateway
 	done := g.exchanger.waiting.wait(d.model, d.begun)
@@ -167,28 +165,25 @@
 	if d.relay.begun {
 		patience = d.deadline.Sub(d.begun)
 	}
-	for {
-		now := time.Now()
-		left := patience - now.Sub(d.begun) - runTime
-		readyIn, known := g.exchanger.waiting.estimate(now, d.model)
-		switch {
-		case d.ctx.Err() != nil:
-			return d.timedOut()
-		case known && readyIn > left:
-			return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetry, readyIn)}
-		case left <= 0, !known && now.Sub(d.begun) > unknownWait:
-			return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetry}
-		}
-		timer := time.NewTimer(exchangeBusy)
-		select {
-		case <-changed:
-			timer.Stop()
-			return nil
-		case <-timer.C:
-		case <-d.ctx.Done():
-			timer.Stop()
-		}
+	now := time.Now()
+	left := patience - now.Sub(d.begun) - runTime
+	readyIn, known := g.exchanger.waiting.estimate(now, d.model)
+	switch {
+	case d.ctx.Err() != nil:
+		return d.timedOut()
+	case known && readyIn > left:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetry, readyIn)}
+	case left <= 0, !known && now.Sub(d.begun) > unknownWait:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetry}
+	}
+	timer := time.NewTimer(exchangeBusy)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-d.ctx.Done():
 	}
+	return nil
 }
 
 // timedOut is the answer when time is up or the caller has left.
@@ -275,7 +270,7 @@
 	}
 	d.gateway.pool.Forget(id)
 	d.log("Answer lost.", id, err)
-	return d.afterLoss(id, "answer lost", OutcomeUnreachable)
+	return d.afterLoss(id, "answer lost", OutcomeBroken)
 }
 
 // afterNotRun decides after an upstream stated that it did not run the request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,7 +25,7 @@
 	// exchangeTimeout bounds an exchange.
 	exchangeTimeout = 500 * time.Millisecond
 	// reachedFor is how long the coordinator counts as reached.
-	reachedFor = time.Second
+	reachedFor = 700 * time.Millisecond
 	// adapterTimeout bounds the call for an adapter.
 	adapterTimeout = 900 * time.Millisecond
 )
@@ -106,6 +106,7 @@
 	}
 	now := clock.SinceBoot()
 	e.reached.Store(int64(now))
+	e.keeper.Hear(reply.Revision, time.Duration(reply.ValidForMS)*time.Millisecond)
 	e.hosts.Store(int64(reply.Hosts))
 	e.budget.SetHosts(reply.Hosts)
 	e.waiting.hear(time.Now(), reply.Estimates)
@@ -119,6 +120,7 @@
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
 		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
+		Unreachable: e.directory.Unreachable(),
 	}
 	if config := e.config(); config != nil {
 		request.Needs = e.bank.Needs(clock.SinceBoot(), config.Workspaces)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -140,7 +140,7 @@
 		return false, d.timedOut()
 	}
 	d.log("Stream broken off.", id, err)
-	return d.afterLoss(id, "stream broken off", OutcomeUnreachable)
+	return d.afterLoss(id, "stream broken off", OutcomeBroken)
 }
 
 // wholeEvents returns the length of the whole events at the beginning of data.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -28,7 +28,7 @@
 	// lookSpread is added at random, so that hosts do not claim all at once.
 	lookSpread = 250 * time.Millisecond
 	// callTimeout bounds a call to the table service.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// releaseTimeout bounds the release at shutdown.
 	releaseTimeout = 500 * time.Millisecond
 )
@@ -51,6 +51,7 @@
 
 	mu         sync.Mutex
 	seen       Observation
+	heard      Heard
 	held       bool
 	validUntil time.Duration
 	ordersFrom time.Duration
@@ -85,6 +86,25 @@
 	return k.held && now < k.validUntil
 }
 
+// Validity returns the revision of the row and how long the lease holds.
+func (k *Keeper) Validity() (revision int64, validFor time.Duration) {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seen.Revision, k.validUntil - now
+}
+
+// Hear notes what the holder said about its lease, so that a lease that ends
+// without a renewal is known to have ended.
+func (k *Keeper) Hear(revision int64, validFor time.Duration) {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.held && revision >= k.heard.Revision {
+		k.heard = Heard{Revision: revision, ValidUntil: now + validFor}
+	}
+}
+
 // MayOrder returns the fencing number if this host may give orders now and
 // for the time that an order takes to arrive.
 func (k *Keeper) MayOrder(arrival time.Duration) (fence int64, ok bool) {
@@ -142,6 +162,9 @@
 	if row.Revision != k.seen.Revision || k.seen.Since == 0 {
 		k.seen = Observation{Record: record, Revision: row.Revision, Since: now}
 	}
+	if k.heard.Revision == row.Revision {
+		k.seen.Ends = k.heard.ValidUntil
+	}
 	last, closing := k.seen, k.closing
 	k.mu.Unlock()
 	if !closing && k.Terms.Claimable(last, k.Host, now) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -63,6 +63,23 @@
 	Revision int64
 	// Since is when this host first saw the revision (the call's end).
 	Since time.Duration
+	// Ends is when the renewal ends, as the holder said; 0: not known.
+	Ends time.Duration
+}
+
+// Heard is what a holder says about its lease.
+type Heard struct {
+	Revision   int64
+	ValidUntil time.Duration // on this host's clock that includes suspension
+}
+
+// ends returns the latest time at which the last holder's right has ended.
+func (t Terms) ends(o Observation) time.Duration {
+	seen := o.Since + t.Duration
+	if o.Ends != 0 {
+		return min(seen, o.Ends)
+	}
+	return seen
 }
 
 // Claimable reports whether a host may try to take the lease.
@@ -73,7 +90,7 @@
 	case o.Record.Holder == host:
 		return true // an earlier process of this machine
 	default:
-		return now-o.Since > t.Duration+t.Slack
+		return now > t.ends(o)+t.Slack
 	}
 }
 
@@ -87,6 +104,6 @@
 	case last.Record.Released:
 		return last.Since + t.Handover + t.Slack
 	default:
-		return last.Since + t.Duration + t.Handover + t.Slack
+		return t.ends(last) + t.Handover + t.Slack
 	}
 }
