--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -121,9 +121,18 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Cause: err}
 	}
+	ResetOnClose(socket)
 	return newConn(socket), nil
 }
 
+// ResetOnClose makes closing a connection reset it. Bytes that a cut link holds
+// up are lost then, instead of arriving when nobody waits for the answer.
+func ResetOnClose(socket net.Conn) {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the bytes may only arrive late
+	}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
