Write the bootstrap configuration whenever the platform comes; refuse repeated fields

Cause: the start asked the platform again and again inside the follower, past the place that writes the bootstrap configuration, so a host that was started first stayed at 503. Repeated fields in settings were resolved in favour of the last; an unknown member in a patch hid the invalid values beside it. A request whose crashes were all shared with other suspects was never quarantined. Change: one attempt at a time with the bootstrap in each; the loss of the platform is logged once; repeated fields are problems; values are validated beside unknown members; a third crash quarantines.

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -23,30 +23,46 @@
 // one *InvalidError. Comments and trailing commas are accepted. It does not
 // call Validate.
 func Decode(data []byte) (*Document, error) {
+	doc, problems, err := decodeWithProblems(data)
+	if err != nil {
+		return nil, err
+	}
+	if err := problems.err(); err != nil {
+		return nil, eris.Wrap(err, "decode")
+	}
+	return doc, nil
+}
+
+// decodeWithProblems returns the problems of the shape and, where these are
+// only members that are not known, the document without them, so that its
+// values can be validated too.
+func decodeWithProblems(data []byte) (*Document, fieldErrors, error) {
 	standard, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
-		return nil, syntaxError(err)
+		return nil, nil, syntaxError(err)
 	}
 	var problems fieldErrors
 	tree, err := parseTree(standard, &problems)
 	if err != nil {
-		return nil, syntaxError(err)
+		return nil, nil, syntaxError(err)
 	}
 	checkShape(tree, reflect.TypeFor[Document](), "", &problems)
-	if err := problems.err(); err != nil {
-		return nil, eris.Wrap(err, "decode")
+	doc, err := decodeTrusted(standard)
+	if err != nil && len(problems) > 0 {
+		return nil, nil, eris.Wrap(problems.err(), "decode")
 	}
-	return decodeTrusted(standard)
+	return doc, problems, err
 }
 
 // Parse reads and validates a document, as in a file with a bootstrap document.
 // Every problem found is in one *InvalidError.
 func Parse(data []byte) (*Document, error) {
-	doc, err := Decode(data)
+	doc, problems, err := decodeWithProblems(data)
 	if err != nil {
 		return nil, err
 	}
-	if err := fieldErrors(Validate(doc)).err(); err != nil {
+	problems = append(problems, Validate(doc)...)
+	if err := problems.err(); err != nil {
 		return nil, eris.Wrap(err, "validate")
 	}
 	return doc, nil
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -33,11 +33,16 @@
 	if err != nil {
 		return nil, err
 	}
-	next, err := patched(doc, operations, Decode)
+	var problems fieldErrors
+	decode := func(data []byte) (part *Document, err error) {
+		part, problems, err = decodeWithProblems(data)
+		return part, err
+	}
+	next, err := patched(doc, operations, decode)
 	if err != nil {
 		return nil, err
 	}
-	problems := fieldErrors(Validate(next))
+	problems = append(problems, Validate(next)...)
 	problems = append(problems, ValidateChange(doc, next)...)
 	if err := problems.err(); err != nil {
 		return nil, eris.Wrap(err, "validate")
--- a/internal/configstore/exchange.go
+++ b/internal/configstore/exchange.go
@@ -56,15 +56,26 @@
 // or the context ends. peers returns the names to ask, which the host knows
 // from its settings.
 func (f *Follower) Start(ctx context.Context, peers func() []string) error {
-	for f.current.Load() == nil {
-		f.startOnce(ctx, peers())
-		if f.current.Load() == nil && !pause(ctx, startPause) {
+	for f.TryStart(ctx, peers()) != nil {
+		if !pause(ctx, startPause) {
 			return eris.Wrap(&NoConfigurationError{}, "start")
 		}
 	}
 	return nil
 }
 
+// TryStart makes one attempt of Start. It returns *NoConfigurationError when
+// neither the platform nor the peers gave a version.
+func (f *Follower) TryStart(ctx context.Context, peers []string) error {
+	if f.current.Load() == nil {
+		f.startOnce(ctx, peers)
+	}
+	if f.current.Load() == nil {
+		return eris.Wrap(&NoConfigurationError{}, "start")
+	}
+	return nil
+}
+
 // startOnce asks the platform and, after its head start, the peers. It returns
 // when either has given a version or both have failed.
 func (f *Follower) startOnce(ctx context.Context, peers []string) {
@@ -101,9 +112,14 @@
 	asked := f.clock.Now()
 	snapshot, err := f.store.Load(ctx)
 	if err != nil {
-		f.log.Info("Configuration cannot be read from the platform.", "cause", err.Error())
+		if !f.platformLost.Swap(true) {
+			f.log.Info("Configuration cannot be read from the platform.", "cause", err.Error())
+		}
 		return false
 	}
+	if f.platformLost.Swap(false) {
+		f.log.Info("Configuration read from the platform.", "version", snapshot.Version)
+	}
 	f.contact.raise(asked)
 	f.applySnapshot(snapshot, sourceStart)
 	f.confirm(snapshot.Version, asked)
--- a/internal/configstore/follower.go
+++ b/internal/configstore/follower.go
@@ -100,6 +100,9 @@
 	transitions []transition
 	callbacks   []func(prev, next *config.Snapshot)
 
+	// platformLost says that the loss of the platform at the start was logged.
+	platformLost atomic.Bool
+
 	transitionSignal chan struct{}
 	pulls            chan PeerHead
 	pushes           chan push
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -152,24 +152,19 @@
 				h.log.V(1).Info("Bootstrap not written.", "error", err.Error())
 			}
 		}
-		err := h.follower.Start(ctx, h.mesh.Hosts)
-		if err == nil && h.follower.Current() != nil {
+		// One attempt at a time: the platform may come later, and the bootstrap
+		// configuration is written then.
+		err := h.follower.TryStart(ctx, h.mesh.Hosts())
+		if err == nil {
 			h.ready.Store(true)
 			h.log.Info("Ready.", "version", h.follower.Current().Version, "after_ms", time.Since(h.started).Milliseconds())
 			return
 		}
-		h.log.Info("No configuration found yet.", "error", errorText(err))
+		h.log.V(1).Info("No configuration found yet.", "error", err.Error())
 		sleep(ctx, startRetryInterval)
 	}
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // readHostList reads the platform's host list until the context ends.
 func (h *Host) readHostList(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -237,3 +237,27 @@
 		t.Errorf("contested: %v and %v, want false and true", runs[0].Contested(now), runs[1].Contested(now))
 	}
 }
+
+// Guards against a guilty request that is never held responsible because other
+// suspects were at each of its crashes: after three of them, two as the only
+// suspect that was sent, it is refused.
+func TestThirdCrashQuarantines(t *testing.T) {
+	s, guilty, other := newSuspects(), fingerprint("guilty"), fingerprint("other")
+	crash := func(upstream string, isolated bool) {
+		c := Crash{Upstream: upstream, Boot: "boot1"}
+		s.accuse(start, guilty, record{crash: c, isolated: isolated, changed: start, expires: start.Add(SuspicionTime)})
+		s.accuse(start, other, record{crash: c, changed: start, expires: start.Add(SuspicionTime)})
+	}
+	crash("u1", false)
+	crash("u2", true)
+	if _, quarantined := s.Quarantined(start, guilty); quarantined {
+		t.Fatal("quarantined although either request may be guilty")
+	}
+	crash("u3", true)
+	if _, quarantined := s.Quarantined(start, guilty); !quarantined {
+		t.Error("not quarantined after three crashes")
+	}
+	if _, quarantined := s.Quarantined(start, other); quarantined {
+		t.Error("the other request is quarantined although it was never alone")
+	}
+}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -25,8 +25,9 @@
 // Suspects tracks which requests run where and which of them were running at
 // upstreams that crashed. A request that has shared a crash is a suspect and
 // runs again only where no other suspect runs. It is quarantined when it has
-// been at two crashes and was the only suspect at one of them: an innocent
-// request may share any number of crashes with the guilty one. It is safe for
+// been at two crashes and was the only suspect at one of them, or at three
+// crashes and was sent as the only suspect to two of them: an innocent request
+// may share any number of crashes with the guilty one. It is safe for
 // concurrent use.
 type Suspects struct {
 	metrics *suspectMetrics
@@ -144,6 +145,9 @@
 	if known == nil || known.active() < quarantineCrashes {
 		return time.Time{}, false
 	}
+	if known.active() > quarantineCrashes && known.activeIsolated() >= quarantineCrashes {
+		return known.lastExpiry(), true
+	}
 	for i := range known.records {
 		r := &known.records[i]
 		if r.isolated && !r.cleared && !s.shared(f, r.crash) {
@@ -153,6 +157,18 @@
 	return time.Time{}, false
 }
 
+// activeIsolated returns the number of crashes at which the request was the only
+// suspect when it was sent.
+func (k *suspect) activeIsolated() int {
+	count := 0
+	for i := range k.records {
+		if r := &k.records[i]; r.isolated && !r.cleared {
+			count++
+		}
+	}
+	return count
+}
+
 // shared reports whether another request that is a suspect because of another
 // crash, too, was at a crash: then the crash proves nothing. It happens when a
 // request became a suspect while it ran beside an isolated run, and when two
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -3,6 +3,7 @@
 package strictjson
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -61,6 +62,9 @@
 		d.report(pointer, "expected an object, found %s", abbreviate(raw))
 		return
 	}
+	for _, name := range repeatedNames(raw) {
+		d.report(pointer+"/"+Escape(name), "given more than once")
+	}
 	for _, name := range sortedKeys(fields) {
 		field, ok := fieldByName(target, name)
 		if !ok {
@@ -77,6 +81,9 @@
 		d.report(pointer, "expected an object, found %s", abbreviate(raw))
 		return
 	}
+	for _, name := range repeatedNames(raw) {
+		d.report(pointer+"/"+Escape(name), "given more than once")
+	}
 	target.Set(reflect.MakeMapWithSize(target.Type(), len(entries)))
 	for _, name := range sortedKeys(entries) {
 		element := reflect.New(target.Type().Elem()).Elem()
@@ -121,6 +128,33 @@
 	return names
 }
 
+// repeatedNames returns the members that an object names more than once;
+// encoding/json would take the last of them.
+func repeatedNames(raw json.RawMessage) []string {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if _, err := decoder.Token(); err != nil {
+		return nil // the caller reports what is no object
+	}
+	seen := map[string]int{}
+	var repeated []string
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return repeated
+		}
+		text, _ := name.(string) // names are strings
+		seen[text]++
+		if seen[text] == 2 {
+			repeated = append(repeated, text)
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return repeated
+		}
+	}
+	return repeated
+}
+
 func isNull(raw json.RawMessage) bool { return string(raw) == "null" }
 
 // typeName names a Go type as JSON users know it.
