Relay the store's tables through the coordinator

Change: hosts take the rows that they lack from the coordinator's answers and ask the store only while that is not fresh; the age of a confirmation counts from the start of the store's call, on the clock that includes suspension. Entries that differ only in their heartbeat count are not passed on.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -9,6 +9,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 // ModelKey names a model of a service.
@@ -43,6 +44,8 @@
 	Needs       map[string]allowance.Need `json:"needs,omitempty"`
 	// Unreachable are upstreams that refused or did not take connections.
 	Unreachable []string `json:"unreachable,omitempty"`
+	// Tables are the revisions of the host's replicas.
+	Tables map[string]int64 `json:"tables,omitempty"`
 }
 
 // Estimate says when a model will be ready.
@@ -77,6 +80,8 @@
 	View       *View                      `json:"view,omitempty"` // nil: unchanged
 	Grants     map[string]allowance.Grant `json:"grants,omitempty"`
 	Estimates  []Estimate                 `json:"estimates,omitempty"`
+	// Tables are what the host's replicas lack.
+	Tables map[string]table.Update `json:"tables,omitempty"`
 	// Running counts the requests of all other hosts at each upstream.
 	Running []RunningCount `json:"running,omitempty"`
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,8 @@
 	decode DecodeUpstream
 	log    logr.Logger
 	forget func(id string) // an incarnation is gone
+	// Replica holds the rows; it calls Apply.
+	Replica table.Replica
 
 	mu       sync.Mutex
 	entries  map[string]*catalog.Upstream
@@ -63,16 +66,29 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(decode DecodeUpstream, forget func(id string), log logr.Logger) *Directory {
-	return &Directory{
+	d := &Directory{
 		decode: decode, log: log, forget: forget,
 		entries: map[string]*catalog.Upstream{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
 		running: map[runningKey]int{}, others: map[string]int{}, changed: make(chan struct{}),
 	}
+	d.Replica.Apply = d.Apply
+	d.Replica.Same = d.same
+	return d
+}
+
+// same reports whether two entries differ only in their count of heartbeats.
+func (d *Directory) same(a, b []byte) bool {
+	first, err := d.decode(table.Row{Value: a})
+	if err != nil {
+		return false
+	}
+	second, err := d.decode(table.Row{Value: b})
+	return err == nil && reflect.DeepEqual(first, second)
 }
 
 // Apply takes over rows of the upstreams' table.
-func (d *Directory) Apply(rows []table.Row, full bool, _ time.Duration) {
+func (d *Directory) Apply(rows []table.Row, full bool) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -88,8 +104,14 @@
 			}
 		}
 	}
-	d.expire(now)
-	if len(rows) > 0 || full {
+	d.notify()
+}
+
+// Expire drops the entries that did not come back in time.
+func (d *Directory) Expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.expire(time.Now()) {
 		d.notify()
 	}
 }
@@ -153,13 +175,14 @@
 	d.forget(id)
 }
 
-// expire drops the entries that did not come back in time.
-func (d *Directory) expire(now time.Time) {
+func (d *Directory) expire(now time.Time) (dropped bool) {
 	for id, until := range d.missing {
 		if now.After(until) {
 			d.drop(id)
+			dropped = true
 		}
 	}
+	return dropped
 }
 
 func (d *Directory) notify() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 const (
@@ -26,6 +27,9 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// reachedFor is how long the coordinator counts as reached.
 	reachedFor = 700 * time.Millisecond
+	// relayAge is the age of a relayed table from which this host asks the
+	// table service itself.
+	relayAge = 1600 * time.Millisecond
 	// adapterTimeout bounds the call for an adapter.
 	adapterTimeout = 900 * time.Millisecond
 )
@@ -44,8 +48,10 @@
 	bank        *allowance.Bank
 	budget      *Budget
 
+	replicas map[string]*table.Replica // by table
 	wake     chan struct{}
 	reached  atomic.Int64 // end of the last exchange, on the boot clock
+	relayed  atomic.Int64 // end of the last exchange that confirmed all replicas
 	hosts    atomic.Int64
 	adapters adapterCalls
 }
@@ -56,6 +62,12 @@
 	return at != 0 && clock.SinceBoot()-time.Duration(at) < reachedFor
 }
 
+// Relayed reports whether the coordinator keeps this host's replicas up to date.
+func (e *exchanger) Relayed() bool {
+	at := e.relayed.Load()
+	return at != 0 && clock.SinceBoot()-time.Duration(at) < reachedFor && !e.keeper.Held()
+}
+
 // hurry makes the next exchange happen soon.
 func (e *exchanger) hurry() {
 	select {
@@ -96,6 +108,7 @@
 
 // once makes one exchange.
 func (e *exchanger) once(ctx context.Context) error {
+	asked := clock.SinceBoot()
 	request := e.request()
 	reply, err := e.call(ctx, request)
 	if err != nil {
@@ -109,18 +122,38 @@
 	e.keeper.Hear(reply.Revision, time.Duration(reply.ValidForMS)*time.Millisecond)
 	e.hosts.Store(int64(reply.Hosts))
 	e.budget.SetHosts(reply.Hosts)
+	e.acceptTables(reply, asked, now)
 	e.waiting.hear(time.Now(), reply.Estimates)
 	e.directory.ApplyExchange(reply)
 	e.bank.Apply(now, reply.Grants)
 	return nil
 }
 
+// acceptTables takes over the tables that the coordinator relays.
+func (e *exchanger) acceptTables(reply *coordinator.ExchangeReply, asked, now time.Duration) {
+	if e.keeper.Held() {
+		return
+	}
+	confirmed := true
+	for name, replica := range e.replicas {
+		update, ok := reply.Tables[name]
+		fresh := time.Duration(update.AgeMS)*time.Millisecond < relayAge
+		confirmed = ok && replica.Accept(update, asked) && fresh && confirmed
+	}
+	if confirmed {
+		e.relayed.Store(int64(now))
+	}
+}
+
 func (e *exchanger) request() *coordinator.ExchangeRequest {
 	epoch, version := e.directory.ViewVersion()
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
 		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
-		Unreachable: e.directory.Unreachable(),
+		Unreachable: e.directory.Unreachable(), Tables: map[string]int64{},
+	}
+	for name, replica := range e.replicas {
+		request.Tables[name] = replica.Revision()
 	}
 	if config := e.config(); config != nil {
 		request.Needs = e.bank.Needs(clock.SinceBoot(), config.Workspaces)
@@ -143,7 +176,16 @@
 
 // Exchange implements coordinator.Service.
 func (e *exchanger) Exchange(_ context.Context, request *coordinator.ExchangeRequest) *coordinator.ExchangeReply {
-	return e.coordinator.Exchange(e.keeper.Coordinator().Epoch, request)
+	reply := e.coordinator.Exchange(e.keeper.Coordinator().Epoch, request)
+	if reply.Holder && request.Host != e.settings.Host {
+		reply.Tables = map[string]table.Update{}
+		for name, after := range request.Tables {
+			if replica := e.replicas[name]; replica != nil {
+				reply.Tables[name] = replica.Since(after)
+			}
+		}
+	}
+	return reply
 }
 
 // Adapter implements coordinator.Service.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	// "unknown key" are not said any more.
 	staleConfig = 1500 * time.Millisecond
 	// configWait is the longest time that a watch of the configuration waits.
-	configWait = time.Second
+	configWait = 600 * time.Millisecond
 	// upstreamWait and upstreamPause pace the watch of the upstreams; each
 	// heartbeat of each of them is a change.
 	upstreamWait  = 1500 * time.Millisecond
@@ -102,6 +102,7 @@
 		settings: s, options: options, log: options.Log, dialect: options.Dialect, pool: upstream.NewPool(),
 		config: &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
+	g.config.replica.Apply = g.config.apply
 	g.directory = NewDirectory(options.DecodeUpstream, g.pool.Forget, options.Log)
 	g.keeper = &lease.Keeper{
 		Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
@@ -113,7 +114,8 @@
 	g.exchanger = &exchanger{
 		settings: &g.settings, log: options.Log, keeper: g.keeper, coordinator: g.coordinator, config: g.config.current.Load,
 		directory: g.directory, waiting: newWaitingBook(), bank: allowance.NewBank(), budget: NewBudget(s.retryTerms()),
-		wake: make(chan struct{}, 1),
+		wake:     make(chan struct{}, 1),
+		replicas: map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.directory.Replica},
 	}
 	g.keeper.Hosts = g.coordinator.Hosts
 	g.keeper.Reached = g.exchanger.Reached
@@ -215,11 +217,12 @@
 
 func (g *Gateway) startWork(ctx context.Context, group *conc.WaitGroup, l listeners) {
 	configs := &table.Follower{
-		Reader: g.options.Reader, Table: g.options.ConfigTable, Wait: configWait, Log: g.log, Apply: g.config.apply,
+		Reader: g.options.Reader, Table: g.options.ConfigTable, Replica: &g.config.replica, Wait: configWait, Log: g.log,
+		Needed: func() bool { return !g.exchanger.Relayed() },
 	}
 	upstreams := &table.Follower{
-		Reader: g.options.Reader, Table: g.options.UpstreamTable, Wait: upstreamWait, Pause: upstreamPause, Log: g.log,
-		Apply: g.directory.Apply, Lost: g.directory.Lost,
+		Reader: g.options.Reader, Table: g.options.UpstreamTable, Replica: &g.directory.Replica, Wait: upstreamWait,
+		Pause: upstreamPause, Log: g.log, Lost: g.directory.Lost, Needed: func() bool { return !g.exchanger.Relayed() },
 	}
 	group.Go(func() { configs.Run(ctx) })
 	group.Go(func() { upstreams.Run(ctx) })
@@ -277,6 +280,7 @@
 			return
 		case <-ticker.C:
 			g.pool.Sweep()
+			g.directory.Expire()
 		}
 	}
 }
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -7,25 +7,25 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
-	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 // DecodeConfig returns the configuration among rows, nil if there is none.
 type DecodeConfig func(rows []table.Row) (*catalog.Config, error)
 
-// configuration is the configuration in force and the age of its confirmation.
+// configuration is the configuration in force. The replica knows the age of
+// its confirmation.
 // It is safe for concurrent use.
 type configuration struct {
 	decode DecodeConfig
 	log    logr.Logger
 
-	current   atomic.Pointer[catalog.Config]
-	confirmed atomic.Int64 // start of the last confirming call, on the boot clock; 0: never
+	current atomic.Pointer[catalog.Config]
+	replica table.Replica
 }
 
 // apply takes over rows of the operator's table. Versions only go forward.
-func (c *configuration) apply(rows []table.Row, _ bool, asked time.Duration) {
+func (c *configuration) apply(rows []table.Row, _ bool) {
 	config, err := c.decode(rows)
 	if err != nil {
 		c.log.Error(err, "Configuration not understood; the last one stays in force.", "version", c.version())
@@ -36,7 +36,6 @@
 		c.log.Info("Configuration in force.", "version", config.Version, "services", len(config.Services),
 			"workspaces", len(config.Workspaces))
 	}
-	c.confirmed.Store(int64(asked))
 }
 
 func (c *configuration) version() int64 {
@@ -47,13 +46,7 @@
 }
 
 // age returns the time since the configuration was confirmed.
-func (c *configuration) age() time.Duration {
-	confirmed := c.confirmed.Load()
-	if confirmed == 0 {
-		return 1 << 62
-	}
-	return clock.SinceBoot() - time.Duration(confirmed)
-}
+func (c *configuration) age() time.Duration { return c.replica.Age() }
 
 // knowledge implements coordinator.Knowledge.
 type knowledge struct {
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -10,27 +10,30 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 )
 
-// Follower keeps a copy of a table up to date through the feed.
+// Follower keeps a replica up to date through the feed of the table service.
 type Follower struct {
-	Reader Reader
-	Table  string
+	Reader  Reader
+	Table   string
+	Replica *Replica
 	// Wait is the longest time that a watch waits for a change.
 	Wait time.Duration
 	// Pause is the least time between two watches.
 	Pause time.Duration
 	Log   logr.Logger
-	// Apply receives rows. With full set they are the whole table, else the
-	// changes. It is also called without rows, when a watch confirms that
-	// nothing has changed. The asked time is when the confirming call began,
-	// on the clock that includes suspension.
-	Apply func(rows []Row, full bool, asked time.Duration)
+	// Needed reports whether the table service must be asked: it need not while
+	// another host relays the table. Optional.
+	Needed func() bool
 	// Lost is called with each failed call. Optional.
 	Lost func(err error)
+
+	gone bool // the history after the replica's revision is gone
 }
 
 const (
 	// retryPause separates calls while the table service fails.
 	retryPause = 200 * time.Millisecond
+	// neededPause separates the checks whether the table service must be asked.
+	neededPause = 100 * time.Millisecond
 	// readTimeout bounds a read of a whole table.
 	readTimeout = 1500 * time.Millisecond
 	// watchSlack is the time that a watch may answer late.
@@ -39,21 +42,23 @@
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	revision := int64(-1)
 	connected := true
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, revision)
-		revision = next
+		if f.Needed != nil && !f.Needed() {
+			sleep(ctx, neededPause)
+			continue
+		}
+		err := f.step(ctx)
 		if err == nil {
 			if !connected {
-				f.Log.Info("Table followed again.", "table", f.Table, "revision", revision)
+				f.Log.Info("Table followed again.", "table", f.Table, "revision", f.Replica.Revision())
 			}
 			connected = true
 			sleep(ctx, f.Pause)
 			continue
 		}
 		if connected && ctx.Err() == nil {
-			f.Log.Info("Table lost.", "table", f.Table, "revision", revision, "error", err.Error())
+			f.Log.Info("Table lost.", "table", f.Table, "revision", f.Replica.Revision(), "error", err.Error())
 			connected = false
 		}
 		if f.Lost != nil && ctx.Err() == nil {
@@ -63,18 +68,12 @@
 	}
 }
 
-// step makes one call and returns the revision to go on from.
-func (f *Follower) step(ctx context.Context, revision int64) (int64, error) {
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
 	asked := clock.SinceBoot()
-	if revision < 0 {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		page, err := f.Reader.Read(ctx, f.Table)
-		if err != nil {
-			return -1, err
-		}
-		f.Apply(page.Rows, true, asked)
-		return page.Revision, nil
+	revision := f.Replica.Revision()
+	if revision < 0 || f.gone {
+		return f.read(ctx, asked)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchSlack)
 	defer cancel()
@@ -82,13 +81,27 @@
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
 		f.Log.Info("History is gone; reading the table again.", "table", f.Table, "revision", revision)
-		return -1, nil
+		f.gone = true
+		return nil
 	}
 	if err != nil {
-		return revision, err
+		return err
+	}
+	f.Replica.Take(page, false, asked)
+	return nil
+}
+
+// read reads the whole table.
+func (f *Follower) read(ctx context.Context, asked time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := f.Reader.Read(ctx, f.Table)
+	if err != nil {
+		return err
 	}
-	f.Apply(page.Rows, false, asked)
-	return page.Revision, nil
+	f.gone = false
+	f.Replica.Take(page, true, asked)
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/table/replica.go
@@ -0,0 +1,166 @@
+package table
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+)
+
+// keptDeletions is the number of deletions that a replica remembers for those
+// who follow it.
+const keptDeletions = 512
+
+// Update is what a replica tells another one.
+type Update struct {
+	Full     bool  `json:"full,omitempty"` // the rows are the whole table
+	Rows     []Row `json:"rows,omitempty"`
+	Revision int64 `json:"revision"`
+	// AgeMS is the time since the call to the table service began that
+	// confirmed the content, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Replica is a host's copy of a table. It is fed from the table service or from
+// another host's replica, and remembers when its content was last confirmed. It
+// is safe for concurrent use.
+type Replica struct {
+	// Same reports whether two values of a row differ only in what nobody
+	// needs to hear of. Optional.
+	Same func(a, b []byte) bool
+	// Apply receives the rows that changed; with full set the whole table.
+	Apply func(rows []Row, full bool)
+
+	mu        sync.Mutex
+	loaded    bool
+	rows      map[string]Row
+	deletions []Row
+	floor     int64 // deletions up to here are forgotten
+	revision  int64
+	confirmed time.Duration // on the clock that includes suspension; 0: never
+}
+
+// never is the age of a replica that was never confirmed.
+const never = time.Duration(1 << 62)
+
+// Age returns the time since the content was confirmed.
+func (r *Replica) Age() time.Duration {
+	now := clock.SinceBoot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.age(now)
+}
+
+func (r *Replica) age(now time.Duration) time.Duration {
+	if r.confirmed == 0 {
+		return never
+	}
+	return now - r.confirmed
+}
+
+// Revision returns the revision of the content, -1 if there is none.
+func (r *Replica) Revision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.loaded {
+		return -1
+	}
+	return r.revision
+}
+
+// Since returns what a replica at a revision (-1: an empty one) lacks.
+func (r *Replica) Since(after int64) Update {
+	now := clock.SinceBoot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.loaded {
+		return Update{Revision: -1}
+	}
+	update := Update{Revision: r.revision, AgeMS: r.age(now).Milliseconds() + 1}
+	if after < r.floor {
+		update.Full = true
+		update.Rows = slices.Collect(maps.Values(r.rows))
+		return update
+	}
+	for _, row := range r.rows {
+		if row.Revision > after {
+			update.Rows = append(update.Rows, row)
+		}
+	}
+	for _, row := range r.deletions {
+		if row.Revision > after {
+			update.Rows = append(update.Rows, row)
+		}
+	}
+	return update
+}
+
+// Accept takes over what another replica told in answer to a question that was
+// asked at a time. It reports whether the content is confirmed by it.
+func (r *Replica) Accept(update Update, asked time.Duration) bool {
+	if update.Revision < 0 || update.Revision < r.Revision() {
+		return false
+	}
+	confirmed := asked - time.Duration(update.AgeMS)*time.Millisecond
+	r.Take(Page{Rows: update.Rows, Revision: update.Revision}, update.Full, confirmed)
+	return true
+}
+
+// Take takes over a page of the table service, whose call began at a time.
+func (r *Replica) Take(page Page, full bool, asked time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed []Row
+	if full || !r.loaded {
+		changed = r.replace(page)
+		full = true
+	} else {
+		changed = r.merge(page)
+	}
+	r.loaded = true
+	r.revision = max(r.revision, page.Revision)
+	r.confirmed = max(r.confirmed, asked)
+	if r.Apply != nil && (full || len(changed) > 0) {
+		r.Apply(changed, full)
+	}
+}
+
+func (r *Replica) replace(page Page) []Row {
+	r.rows = make(map[string]Row, len(page.Rows))
+	for _, row := range page.Rows {
+		r.rows[row.Key] = row
+	}
+	r.deletions = nil
+	r.floor = page.Revision
+	return page.Rows
+}
+
+func (r *Replica) merge(page Page) []Row {
+	changed := make([]Row, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		known, ok := r.rows[row.Key]
+		switch {
+		case ok && row.Revision < known.Revision:
+			continue
+		case row.Deleted:
+			delete(r.rows, row.Key)
+			r.remember(row)
+		case ok && r.Same != nil && r.Same(known.Value, row.Value):
+			continue
+		default:
+			r.rows[row.Key] = row
+		}
+		changed = append(changed, row)
+	}
+	return changed
+}
+
+func (r *Replica) remember(row Row) {
+	r.deletions = append(r.deletions, row)
+	if len(r.deletions) > keptDeletions {
+		r.floor = r.deletions[0].Revision
+		r.deletions = r.deletions[1:]
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -10,10 +10,10 @@
 
 // Row is one row of a table.
 type Row struct {
-	Key      string
-	Value    []byte
-	Revision int64 // grows with each change, over all tables
-	Deleted  bool  // in feeds only
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`          // grows with each change, over all tables
+	Deleted  bool   `json:"deleted,omitempty"` // in feeds only
 }
 
 // Page is the content or the changes of a table as of a revision.
