--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,226 @@
+package allowance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+// Bounds of the users' rule for the sum over all hosts in a window.
+const (
+	ruleWindow  = 8 * time.Second
+	ruleOverage = 1.1
+	ruleSlack   = 11_000.0
+)
+
+var workspace = &catalog.Workspace{Name: "w", PerS: 50_000, Burst: 50_000, CountTokens: true}
+
+// spent is the spending of the fleet, by time.
+type spent struct {
+	at     time.Duration
+	amount float64
+}
+
+// playedFleet runs hosts and a coordinator on a simulated clock.
+type playedFleet struct {
+	now    time.Duration
+	banks  []*Bank
+	down   []bool // hosts without contact to the coordinator
+	ledger *Ledger
+	spent  []spent
+	random *rand.Rand
+	// waiting are the requests that wait for a grant, by host.
+	waiting map[int][]waitingRequest
+}
+
+type waitingRequest struct {
+	since time.Duration
+	done  func()
+}
+
+// requestCost and requestWait describe the simulated requests.
+const (
+	requestCost = 1500.0
+	requestWait = 350 * time.Millisecond
+)
+
+func newPlayedFleet(hosts int) *playedFleet {
+	f := &playedFleet{waiting: map[int][]waitingRequest{}, now: 100 * time.Second, down: make([]bool, hosts), random: rand.New(rand.NewPCG(1, 2))}
+	for range hosts {
+		f.banks = append(f.banks, NewBank())
+	}
+	f.ledger = NewLedger(f.now, true, nil)
+	return f
+}
+
+func (f *playedFleet) exchange() {
+	workspaces := map[string]*catalog.Workspace{"w": workspace}
+	for i, bank := range f.banks {
+		if f.down[i] || f.ledger == nil {
+			continue
+		}
+		host := fmt.Sprint(i)
+		f.ledger.Hear(f.now, host)
+		needs := bank.Needs(f.now, workspaces)
+		bank.Apply(f.now, map[string]Grant{"w": f.ledger.Exchange(f.now, host, workspace, needs["w"])})
+	}
+}
+
+// play lets each host ask for the given rate, in tokens per second, for a time.
+func (f *playedFleet) play(d time.Duration, rates []float64) (asked, taken float64) {
+	const step = 10 * time.Millisecond
+	for end := f.now + d; f.now < end; f.now += step {
+		if f.now%(200*time.Millisecond) == 0 {
+			f.exchange()
+		}
+		for i, bank := range f.banks {
+			taken += f.retryWaiting(i)
+			if f.random.Float64() > rates[i]*step.Seconds()/requestCost {
+				continue
+			}
+			asked += requestCost
+			switch bank.Take(f.now, workspace, requestCost) {
+			case Taken:
+				taken += requestCost
+				f.spent = append(f.spent, spent{f.now, requestCost})
+			case Short:
+				_, done := bank.Wait(f.now, workspace, requestCost)
+				f.waiting[i] = append(f.waiting[i], waitingRequest{f.now, done})
+			}
+		}
+	}
+	return asked, taken
+}
+
+// retryWaiting tries the requests of a host that wait, and returns what was taken.
+func (f *playedFleet) retryWaiting(host int) (taken float64) {
+	var left []waitingRequest
+	for _, request := range f.waiting[host] {
+		outcome := f.banks[host].Take(f.now, workspace, requestCost)
+		if outcome == Short && f.now-request.since < requestWait {
+			left = append(left, request)
+			continue
+		}
+		request.done()
+		if outcome == Taken {
+			taken += requestCost
+			f.spent = append(f.spent, spent{f.now, requestCost})
+		}
+	}
+	f.waiting[host] = left
+	return taken
+}
+
+// worst returns the largest spending in any window.
+func (f *playedFleet) worst() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, s := range f.spent {
+		sum += s.amount
+		for f.spent[first].at <= s.at-ruleWindow {
+			sum -= f.spent[first].amount
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (f *playedFleet) check(t *testing.T) {
+	t.Helper()
+	bound := (workspace.PerS*ruleWindow.Seconds()+workspace.Burst)*ruleOverage + ruleSlack
+	if worst := f.worst(); worst > bound {
+		t.Errorf("%.0f tokens in %v, bound %.0f", worst, ruleWindow, bound)
+	}
+}
+
+func even(hosts int, rate float64) []float64 {
+	rates := make([]float64, hosts)
+	for i := range rates {
+		rates[i] = rate / float64(hosts)
+	}
+	return rates
+}
+
+func TestOneWorkspaceAtSeveralTimesItsRate(t *testing.T) {
+	f := newPlayedFleet(8)
+	_, taken := f.play(20*time.Second, even(8, 6*workspace.PerS))
+	f.check(t)
+	if least := 0.85 * workspace.PerS * 20; taken < least {
+		t.Errorf("%.0f tokens served, want at least %.0f", taken, least)
+	}
+}
+
+// Below its rate a workspace is served wherever its callers happen to be.
+func TestUnevenHostsWithinTheRate(t *testing.T) {
+	f := newPlayedFleet(8)
+	rates := make([]float64, 8)
+	rates[0], rates[5] = 0.4*workspace.PerS, 0.15*workspace.PerS
+	f.play(3*time.Second, rates)
+	asked, taken := f.play(20*time.Second, rates)
+	f.check(t)
+	if taken < 0.98*asked {
+		t.Errorf("%.0f of %.0f tokens served", taken, asked)
+	}
+}
+
+func TestZoneWithoutCoordinator(t *testing.T) {
+	f := newPlayedFleet(8)
+	rates := even(8, 6*workspace.PerS)
+	f.play(5*time.Second, rates)
+	for i := range 3 {
+		f.down[i] = true
+	}
+	f.play(6*time.Second, rates)
+	for i := range 3 {
+		f.down[i] = false
+	}
+	f.play(6*time.Second, rates)
+	f.check(t)
+}
+
+// The coordinator ends, nobody coordinates for a while, and the next one begins
+// with an empty bucket.
+func TestCoordinatorChanges(t *testing.T) {
+	f := newPlayedFleet(8)
+	rates := even(8, 6*workspace.PerS)
+	f.play(5*time.Second, rates)
+	hosts := f.ledger.Hosts()
+	f.ledger = nil
+	f.play(5*time.Second, rates)
+	f.ledger = NewLedger(f.now, false, hosts)
+	f.play(8*time.Second, rates)
+	f.check(t)
+}
+
+// All processes end again and again: banks start empty and without shares.
+func TestAllHostsRestart(t *testing.T) {
+	f := newPlayedFleet(8)
+	rates := even(8, 6*workspace.PerS)
+	for range 4 {
+		f.play(3*time.Second, rates)
+		for i := range f.banks {
+			f.banks[i] = NewBank()
+			f.waiting[i] = nil
+		}
+		f.ledger = NewLedger(f.now, false, f.ledger.Hosts())
+	}
+	f.check(t)
+}
+
+func TestRefundCanBeSpentAgain(t *testing.T) {
+	bank := NewBank()
+	bank.Apply(time.Second, map[string]Grant{"w": {Amount: 100}})
+	if bank.Take(time.Second, workspace, 100) != Taken {
+		t.Fatal("not taken")
+	}
+	if bank.Take(time.Second, workspace, 100) == Taken {
+		t.Fatal("taken twice")
+	}
+	bank.Refund(time.Second, workspace, 100)
+	if bank.Take(time.Second, workspace, 100) != Taken {
+		t.Error("the refund is not available")
+	}
+}
--- a/internal/allowance/bank.go
+++ b/internal/allowance/bank.go
@@ -12,11 +12,19 @@
 	holdTime = 500 * time.Millisecond
 	// rateMemory is the time constant of the measured spending.
 	rateMemory = 2 * time.Second
-	// stockOfRate bounds the stock of a bank, in seconds of the workspace's rate.
-	stockOfRate = 0.12
-	// leastStock is the stock for requests that come out of the blue, as a
-	// part of a second of the workspace's rate.
-	leastStock = 0.02
+	// mostStock bounds the stock of a bank, in seconds of the host's share: the
+	// stocks of all hosts together and the bucket stay within the users' rule.
+	mostStock = 0.8
+	// leastStock is the stock for requests that come out of the blue, in seconds
+	// of the host's share.
+	leastStock = 0.3
+	// payAfter is when a host without an exchange begins to live on its share;
+	// it is earlier than SilentAfter, as messages take time.
+	payAfter = 500 * time.Millisecond
+	// shareQueue bounds what waits while a host lives on its share, in seconds of it.
+	shareQueue = 0.25
+	// shareStock bounds what a host saves while it lives on its share, in seconds.
+	shareStock = 1.0
 )
 
 type account struct {
@@ -60,7 +68,7 @@
 	a := b.account(w.Name, now)
 	b.payShare(a, w, now)
 	if a.balance < cost {
-		if a.shortage || a.shareOn {
+		if a.shortage || (a.shareOn && a.pending > a.share*shareQueue) {
 			return Exhausted
 		}
 		return Short
@@ -104,7 +112,7 @@
 		}
 		a := b.account(w.Name, now)
 		a.decay(now)
-		target := min(max(a.rate*holdTime.Seconds(), w.PerS*leastStock), w.PerS*stockOfRate) + a.pending
+		target := min(max(a.rate*holdTime.Seconds(), a.share*leastStock), a.share*mostStock) + a.pending
 		var need Need
 		switch {
 		case a.balance < target:
@@ -135,7 +143,7 @@
 // payShare credits the share while the coordinator is silent.
 func (b *Bank) payShare(a *account, w *catalog.Workspace, now time.Duration) {
 	silent := now - a.shareAt
-	if a.share == 0 || silent < SilentAfter {
+	if a.share == 0 || silent < payAfter {
 		return
 	}
 	if !a.shareOn {
@@ -144,7 +152,7 @@
 	}
 	until := min(now, a.shareAt+ShareValid)
 	if until > a.accrued {
-		a.balance = min(a.balance+min(a.share, w.PerS)*(until-a.accrued).Seconds(), max(a.balance, w.PerS*stockOfRate+a.share))
+		a.balance = min(a.balance+min(a.share, w.PerS)*(until-a.accrued).Seconds(), max(a.balance, a.share*shareStock))
 		a.accrued = until
 	}
 }
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
@@ -11,9 +12,10 @@
 type engineState struct {
 	upstream *catalog.Upstream
 	holdings catalog.Holdings
-	known    bool // a report was read, so the order count is known
-	asking   bool // a report is being read
-	occupied bool // an action is in progress here
+	known    bool       // a report was read, so the order count is known
+	asking   bool       // a report is being read
+	occupied bool       // an action is in progress here
+	orders   sync.Mutex // held while an order is on its way
 	loading  *Action
 	// readyAt is the expected end of loading.
 	readyAt time.Duration
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -73,6 +73,8 @@
 	// all other fields are empty.
 	Holder bool  `json:"holder"`
 	Epoch  int64 `json:"epoch"`
+	// Leaving says that the coordinator hands the lease over.
+	Leaving bool `json:"leaving,omitempty"`
 	// Revision is that of the lease's row, and ValidForMS how long it holds.
 	Revision   int64                      `json:"revision"`
 	ValidForMS int64                      `json:"valid_for_ms"`
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -130,6 +130,8 @@
 	if !ok {
 		return OrderRejected, false
 	}
+	engine.orders.Lock() // each order relies on the count after the one before
+	defer engine.orders.Unlock()
 	c.mu.Lock()
 	upstream := engine.upstream
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
@@ -141,7 +143,7 @@
 	switch result {
 	case OrderAccepted:
 		engine.accepted()
-		engine.holdings.Busy = order.Adapter == ""
+		engine.holdings.Busy = engine.holdings.Busy || order.Adapter == ""
 	case OrderUnknown:
 		engine.unsure = append(engine.unsure, unsureOrder{afterSeq: order.AfterSeq, load: loadOf(order), adapter: order.Adapter})
 		engine.unsureAt = clock.SinceBoot()
@@ -155,7 +157,9 @@
 	if result != OrderConflict || !c.busy(engine) {
 		c.refresh(ctx, engine)
 	}
-	c.fail(engine)
+	if order.Adapter == "" {
+		c.fail(engine)
+	}
 	return result, false
 }
 
@@ -219,11 +223,8 @@
 		c.mu.Unlock()
 		return &AdapterReply{Upstream: engine.upstream.ID}
 	}
-	occupied := engine.occupied
-	engine.occupied = true
 	evict := c.adapterVictim(engine, name)
 	c.mu.Unlock()
-	defer c.release(engine, occupied)
 	if evict != "" && !c.dropAdapter(ctx, engine, evict) {
 		return &AdapterReply{Reason: "no place could be freed"}
 	}
@@ -246,18 +247,12 @@
 	return reply
 }
 
-func (c *Coordinator) release(engine *engineState, occupied bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	engine.occupied = occupied
-}
-
 // adapterPlace chooses the engine for an adapter: one that has it, else the
 // model's engines in a fixed order for each adapter, so that the adapters of a
 // model spread over its engines.
 func (c *Coordinator) adapterPlace(request *AdapterRequest) (engine *engineState, loaded bool) {
 	byID := map[string]*engineState{}
-	var ids []string
+	var free, occupied []string
 	now := clock.SinceBoot()
 	for id, e := range c.fleet {
 		if e.upstream.Service != request.Service || e.upstream.Leaving || !e.ready(request.Model) {
@@ -266,12 +261,20 @@
 		if slices.Contains(e.holdings.Models[request.Model], request.Adapter) {
 			return e, true
 		}
-		if e.settled() && !e.occupied && now >= e.retryAt {
-			byID[id] = e
-			ids = append(ids, id)
+		if !e.known || now < e.retryAt {
+			continue
+		}
+		byID[id] = e
+		if e.occupied {
+			occupied = append(occupied, id)
+		} else {
+			free = append(free, id)
 		}
 	}
-	return byID[rendezvous.Owner(request.Adapter, ids)], false
+	if len(free) == 0 {
+		free = occupied // a load in progress does not keep adapters out
+	}
+	return byID[rendezvous.Owner(request.Adapter, free)], false
 }
 
 // adapterVictim returns the adapter (as MODEL/ADAPTER) to unload before another
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -34,6 +34,8 @@
 	// prefetchIdle is how long a model must not have been asked for before it
 	// yields to one that is only loaded ahead.
 	prefetchIdle = 1500 * time.Millisecond
+	// adapterWait is the part of a model's requests that may wait for an adapter.
+	adapterWait = 0.05
 	// aheadValue is below that of any model that is asked for.
 	aheadValue = 0.01
 	// loadPenalty multiplies the rate of an engine with many requests when a
@@ -252,7 +254,7 @@
 	for _, count := range engine.Running {
 		running += count
 	}
-	cost := takes.Seconds() + lost + loadPenalty*float64(running)
+	cost := takes.Seconds() + lost + loadPenalty*float64(running) + p.heldUp(engine)*takes.Seconds()
 	// Equal engines are told apart in the same way by every coordinator.
 	cost += float64(rendezvous.Score(n.model, engine.ID)%1000) / 1e5
 	return Action{
@@ -260,6 +262,17 @@
 	}, cost, true
 }
 
+// heldUp returns the cost of each second in which an engine can't load adapters.
+func (p *planner) heldUp(engine *Engine) float64 {
+	rate := 0.0
+	for model := range engine.Holdings.Models {
+		if demand := p.Demand[model]; demand != nil {
+			rate += demand.Rate
+		}
+	}
+	return rate * adapterWait
+}
+
 // free returns the memory that is certainly free, in MB.
 func (p *planner) free(engine *Engine) float64 {
 	e := p.Service.Engine
@@ -323,6 +336,9 @@
 	if engine.Running[model] > 0 || p.Now-engine.LoadedAt[model] < minResidence {
 		return 0, false
 	}
+	if slices.Contains(engine.Reserved, model) {
+		return 0, false // a late load may bring it back
+	}
 	demand := p.Demand[model]
 	if demand == nil {
 		return 0, true
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -115,6 +115,8 @@
 		return err
 	}
 	if !reply.Holder {
+		e.reached.Store(0)
+		e.keeper.Hurry()
 		return &NoCoordinatorError{Asked: e.keeper.Coordinator().Holder}
 	}
 	now := clock.SinceBoot()
@@ -122,6 +124,9 @@
 	e.keeper.Hear(reply.Revision, time.Duration(reply.ValidForMS)*time.Millisecond)
 	e.hosts.Store(int64(reply.Hosts))
 	e.budget.SetHosts(reply.Hosts)
+	if reply.Leaving {
+		e.keeper.Hurry()
+	}
 	e.acceptTables(reply, asked, now)
 	e.waiting.hear(time.Now(), reply.Estimates)
 	e.directory.ApplyExchange(reply)
@@ -177,6 +182,7 @@
 // Exchange implements coordinator.Service.
 func (e *exchanger) Exchange(_ context.Context, request *coordinator.ExchangeRequest) *coordinator.ExchangeReply {
 	reply := e.coordinator.Exchange(e.keeper.Coordinator().Epoch, request)
+	reply.Leaving = e.keeper.Closing()
 	if reply.Holder && request.Host != e.settings.Host {
 		reply.Tables = map[string]table.Update{}
 		for name, after := range request.Tables {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,6 +17,9 @@
 const (
 	// grantWait is how long a request waits for its workspace's allowance.
 	grantWait = 350 * time.Millisecond
+	// grantLook is how often it looks again without news of the coordinator:
+	// the host's share grows with time.
+	grantLook = 60 * time.Millisecond
 	// confirmMargin is kept from the bound of the confirmation of keys.
 	confirmMargin = 250 * time.Millisecond
 	// shortRetry is the Retry-After where the reason passes soon.
@@ -164,7 +167,7 @@
 		}
 		changed, done := bank.Wait(now, e.workspace, e.cost)
 		e.gateway.exchanger.hurry()
-		timer := time.NewTimer(left)
+		timer := time.NewTimer(min(left, grantLook))
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -27,6 +27,8 @@
 	lookEvery = 400 * time.Millisecond
 	// lookSpread is added at random, so that hosts do not claim all at once.
 	lookSpread = 250 * time.Millisecond
+	// hurrySpread is the spread of looks after the coordinator said that it is none.
+	hurrySpread = 60 * time.Millisecond
 	// callTimeout bounds a call to the table service.
 	callTimeout = 600 * time.Millisecond
 	// releaseTimeout bounds the release at shutdown.
@@ -56,6 +58,7 @@
 	validUntil time.Duration
 	ordersFrom time.Duration
 	closing    bool
+	hurry      chan struct{} // closed to end a pause; nil: nobody pauses
 }
 
 // Status is a snapshot of the lease as this host knows it.
@@ -129,22 +132,53 @@
 	k.look(ctx)
 	for ctx.Err() == nil {
 		switch {
-		case k.isHolder():
+		case k.renews():
 			k.renew(ctx)
 			pause(ctx, renewEvery)
 		default:
-			pause(ctx, lookEvery+rand.N(lookSpread))
-			if !k.Reached() {
+			hurried := k.pauseOrHurry(ctx, lookEvery+rand.N(lookSpread))
+			if hurried || !k.Reached() {
 				k.look(ctx)
 			}
 		}
 	}
 }
 
-func (k *Keeper) isHolder() bool {
+// Hurry makes the next look happen soon: the coordinator said that it is none.
+func (k *Keeper) Hurry() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.held
+	if k.hurry != nil {
+		close(k.hurry)
+		k.hurry = nil
+	}
+}
+
+// pauseOrHurry reports whether the pause was cut short by Hurry.
+func (k *Keeper) pauseOrHurry(ctx context.Context, d time.Duration) bool {
+	k.mu.Lock()
+	if k.hurry == nil {
+		k.hurry = make(chan struct{})
+	}
+	hurry := k.hurry
+	k.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-hurry:
+		pause(ctx, rand.N(hurrySpread))
+		return true
+	}
+	return false
+}
+
+// renews reports whether this host is to renew the lease.
+func (k *Keeper) renews() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held && !k.closing
 }
 
 // look reads the row and claims the lease if it is free.
@@ -166,6 +200,9 @@
 		k.seen.Ends = k.heard.ValidUntil
 	}
 	last, closing := k.seen, k.closing
+	if k.held && record.Holder != k.Host {
+		k.held = false // handed over
+	}
 	k.mu.Unlock()
 	if !closing && k.Terms.Claimable(last, k.Host, now) {
 		k.claim(ctx, last)
@@ -266,7 +303,16 @@
 	return k.Store.Put(ctx, Table, Key, expected, value)
 }
 
-// Stop ends orders at once and releases the lease, for a graceful shutdown.
+// Closing reports whether this host is about to hand the lease over.
+func (k *Keeper) Closing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.closing
+}
+
+// Stop ends orders at once and releases the lease, for a graceful shutdown. The
+// host still counts as the holder, without orders, until another one has taken
+// over or the last renewal ends.
 func (k *Keeper) Stop(ctx context.Context) {
 	k.mu.Lock()
 	k.closing = true
@@ -281,9 +327,6 @@
 	record.Released = true
 	record.Renewal = rand.Int64()
 	_, err := k.write(ctx, last.Revision, record)
-	k.mu.Lock()
-	k.held = false
-	k.mu.Unlock()
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		k.Log.Info("Lease had changed before its release.", "epoch", record.Epoch)
