Make one place for an adapter at a time, and refuse waiting requests at shutdown

Change: an engine's turn for adapters; adapters in use do not yield; a host that shuts down refuses what still waits 4 s before its end.

--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,211 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+// heldLease is a lease that this host holds for as long as set.
+type heldLease struct{}
+
+func (heldLease) Held() bool                             { return true }
+func (heldLease) Validity() (int64, time.Duration)       { return 1, time.Second }
+func (heldLease) MayOrder(time.Duration) (int64, bool)   { return 1, true }
+func (k *fixedKnowledge) Config() *catalog.Config        { return k.config }
+func (k *fixedKnowledge) Upstreams() []*catalog.Upstream { return k.upstreams }
+
+type fixedKnowledge struct {
+	config    *catalog.Config
+	upstreams []*catalog.Upstream
+}
+
+// fakeEngine carries orders out as the users' engines do and notes when it was
+// ordered to hold more than it can.
+type fakeEngine struct {
+	mu       sync.Mutex
+	service  *catalog.Service
+	holdings catalog.Holdings
+	loseNext int // orders that are carried out and not answered
+	overfull []string
+}
+
+func (e *fakeEngine) Report(context.Context, *catalog.Upstream) (catalog.Holdings, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	copied := e.holdings
+	copied.Models = map[string][]string{}
+	for model, adapters := range e.holdings.Models {
+		copied.Models[model] = slices.Clone(adapters)
+	}
+	copied.OnDisk = slices.Clone(e.holdings.OnDisk)
+	return copied, nil
+}
+
+func (e *fakeEngine) Order(_ context.Context, upstream *catalog.Upstream, order Order) (OrderResult, error) {
+	time.Sleep(2 * time.Millisecond) // the way to the engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holdings.Busy || order.AfterSeq != e.holdings.OrderSeq {
+		return OrderConflict, nil
+	}
+	e.holdings.OrderSeq++
+	result := e.carryOut(order)
+	if e.loseNext > 0 {
+		e.loseNext--
+		return OrderUnknown, &EngineError{Upstream: upstream.ID, Call: "order", Cause: context.DeadlineExceeded}
+	}
+	return result, nil
+}
+
+func (e *fakeEngine) carryOut(order Order) OrderResult {
+	switch {
+	case order.Adapter != "" && order.Unload:
+		e.holdings.Models[order.Model] = slices.DeleteFunc(e.holdings.Models[order.Model], func(a string) bool { return a == order.Adapter })
+		return OrderHolds
+	case order.Adapter != "":
+		e.holdings.Models[order.Model] = append(e.holdings.Models[order.Model], order.Adapter)
+	case order.Unload:
+		delete(e.holdings.Models, order.Model)
+	default:
+		e.holdings.Busy = true
+		time.AfterFunc(30*time.Millisecond, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.holdings.Busy = false
+			e.holdings.Models[order.Model] = nil
+			e.holdings.OnDisk = append(e.holdings.OnDisk, order.Model)
+			e.check()
+		})
+	}
+	e.check()
+	return OrderAccepted
+}
+
+func (e *fakeEngine) check() {
+	adapters, weights := 0, 0.0
+	for model, loaded := range e.holdings.Models {
+		adapters += len(loaded)
+		weights += e.service.Engine.Models[model].WeightsMB
+	}
+	if adapters > e.service.Engine.AdapterPlaces {
+		e.overfull = append(e.overfull, fmt.Sprintf("%d adapters", adapters))
+	}
+	if weights > e.service.Engine.WeightsMB {
+		e.overfull = append(e.overfull, fmt.Sprintf("%.0f MB", weights))
+	}
+}
+
+// startCoordinator runs a coordinator with one engine that holds model m0.
+func startCoordinator(t *testing.T, models int) (*Coordinator, *fakeEngine) {
+	t.Helper()
+	service := testService(models)
+	for name, model := range service.Engine.Models {
+		model.Load, model.LoadDisk, model.LoadMemory = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
+		service.Engine.Models[name] = model
+	}
+	holdings := catalog.Holdings{Models: map[string][]string{"m0": nil}, OnDisk: []string{"m0"}, OrderSeq: 5}
+	engine := &fakeEngine{service: service, holdings: holdings}
+	entry := catalog.Holdings{Models: map[string][]string{"m0": nil}, OnDisk: []string{"m0"}}
+	knowledge := &fixedKnowledge{
+		config:    catalog.NewConfig(1, nil, []*catalog.Service{service}, catalog.Limits{}),
+		upstreams: []*catalog.Upstream{{ID: "e1", Service: "llm", Address: "e1:1", Holdings: entry}},
+	}
+	c := New("host", heldLease{}, knowledge, engine, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	awaitView(t, c, func(v EngineView) bool { _, ok := v.Ready["m0"]; return ok })
+	return c, engine
+}
+
+func awaitView(t *testing.T, c *Coordinator, condition func(EngineView) bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		reply := c.Exchange(1, &ExchangeRequest{Host: "h", ViewVersion: -1, Running: []RunningCount{{Upstream: "e1", Model: "m0", Count: 1}}})
+		if reply.View != nil && len(reply.View.Engines) == 1 && condition(reply.View.Engines[0]) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("view %+v", reply.View)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A model with many adapters became ready and all of them were asked for at
+// once: each call counted the places alone (LIMIT, tuulgan trouble-3).
+func TestAdaptersAskedForAtOnce(t *testing.T) {
+	c, engine := startCoordinator(t, 1)
+	var group sync.WaitGroup
+	for i := range 14 {
+		group.Go(func() {
+			c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: fmt.Sprintf("a%d", i)})
+		})
+	}
+	group.Wait()
+	if len(engine.overfull) > 0 {
+		t.Errorf("ordered to hold %v", engine.overfull)
+	}
+}
+
+// The answers of orders are lost while adapters are asked for one by one.
+func TestAdaptersWithLostAnswers(t *testing.T) {
+	c, engine := startCoordinator(t, 1)
+	loaded := 0
+	for i := range 30 {
+		if i%4 == 0 {
+			engine.mu.Lock()
+			engine.loseNext = 1
+			engine.mu.Unlock()
+		}
+		reply := c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: fmt.Sprintf("a%d", i%12)})
+		if reply.Upstream != "" {
+			loaded++
+		}
+	}
+	if len(engine.overfull) > 0 {
+		t.Errorf("ordered to hold %v", engine.overfull)
+	}
+	if loaded < 15 {
+		t.Errorf("%d of 30 calls had the adapter", loaded)
+	}
+}
+
+// Models are asked for in turn while answers are lost; memory is never
+// overcommitted and each of them is served.
+func TestModelsInTurnWithLostAnswers(t *testing.T) {
+	c, engine := startCoordinator(t, 6)
+	for i := range 6 {
+		engine.mu.Lock()
+		engine.loseNext = i % 2
+		engine.mu.Unlock()
+		model := fmt.Sprintf("m%d", i)
+		deadline := time.Now().Add(8 * time.Second)
+		for {
+			demand := []ModelDemand{{ModelKey: ModelKey{"llm", model}, Arrivals: 1, Waiting: 1}}
+			reply := c.Exchange(1, &ExchangeRequest{Host: "h", ViewVersion: -1, Demand: demand})
+			if _, ready := reply.View.Engines[0].Ready[model]; ready {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s is not loaded", model)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if len(engine.overfull) > 0 {
+		t.Errorf("ordered to hold %v", engine.overfull)
+	}
+}
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -114,6 +114,19 @@
 	return demand
 }
 
+// adapterRunning returns the requests of an adapter at an upstream.
+func (b *demandBook) adapterRunning(upstream, name string) int {
+	count := 0
+	for _, word := range b.hosts {
+		for _, r := range word.running {
+			if r.Upstream == upstream && r.Adapter != "" && r.Model+"/"+r.Adapter == name {
+				count += r.Count
+			}
+		}
+	}
+	return count
+}
+
 // running returns the requests at each upstream, by model, but for one host's.
 func (b *demandBook) running(except string) map[string]map[string]int {
 	counts := map[string]map[string]int{}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -16,7 +16,9 @@
 	asking   bool       // a report is being read
 	occupied bool       // an action is in progress here
 	orders   sync.Mutex // held while an order is on its way
-	loading  *Action
+	// adapterTurn is held while a place for an adapter is made and filled.
+	adapterTurn sync.Mutex
+	loading     *Action
 	// readyAt is the expected end of loading.
 	readyAt time.Duration
 	// unsure are orders whose answer was lost.
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -30,6 +30,7 @@
 type RunningCount struct {
 	Upstream string `json:"upstream"`
 	Model    string `json:"model,omitempty"`
+	Adapter  string `json:"adapter,omitempty"`
 	Count    int    `json:"count"`
 }
 
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -210,22 +210,34 @@
 
 // Adapter loads an adapter on an engine that holds its model.
 func (c *Coordinator) Adapter(ctx context.Context, request *AdapterRequest) *AdapterReply {
-	name := request.Model + "/" + request.Adapter
 	c.mu.Lock()
 	engine, loaded := c.adapterPlace(request)
-	if engine == nil {
-		c.mu.Unlock()
+	c.mu.Unlock()
+	switch {
+	case engine == nil:
 		return &AdapterReply{Reason: "no engine with the model has a place"}
-	}
-	now := clock.SinceBoot()
-	engine.adapters[name] = now
-	if loaded {
-		c.mu.Unlock()
+	case loaded:
 		return &AdapterReply{Upstream: engine.upstream.ID}
 	}
-	evict := c.adapterVictim(engine, name)
+	engine.adapterTurn.Lock()
+	defer engine.adapterTurn.Unlock()
+	return c.loadAdapter(ctx, engine, request)
+}
+
+// loadAdapter makes a place and loads the adapter. Its caller has the engine's turn.
+func (c *Coordinator) loadAdapter(ctx context.Context, engine *engineState, request *AdapterRequest) *AdapterReply {
+	name := request.Model + "/" + request.Adapter
+	c.mu.Lock()
+	loaded := slices.Contains(engine.holdings.Models[request.Model], request.Adapter)
+	engine.adapters[name] = clock.SinceBoot()
+	evict, full := c.adapterVictim(engine, name)
 	c.mu.Unlock()
-	if evict != "" && !c.dropAdapter(ctx, engine, evict) {
+	switch {
+	case loaded:
+		return &AdapterReply{Upstream: engine.upstream.ID}
+	case full && evict == "":
+		return &AdapterReply{Reason: "all places are in use"}
+	case evict != "" && !c.dropAdapter(ctx, engine, evict):
 		return &AdapterReply{Reason: "no place could be freed"}
 	}
 	result, ok := c.give(ctx, engine, Order{Model: request.Model, Adapter: request.Adapter})
@@ -278,12 +290,13 @@
 }
 
 // adapterVictim returns the adapter (as MODEL/ADAPTER) to unload before another
-// one fits, "" if there is a place.
-func (c *Coordinator) adapterVictim(engine *engineState, wanted string) string {
+// one fits, the one that was asked for least recently. Full says that there is
+// no free place.
+func (c *Coordinator) adapterVictim(engine *engineState, wanted string) (victim string, full bool) {
 	config := c.knowledge.Config()
 	service := config.Services[engine.upstream.Service]
 	if service == nil || service.Engine == nil {
-		return ""
+		return "", true
 	}
 	count := len(engine.holdings.Pending)
 	for _, order := range engine.unsure {
@@ -297,21 +310,23 @@
 			count++
 			name := model + "/" + adapter
 			at := engine.adapters[name]
-			if name != wanted && (oldest == "" || at < oldestAt) {
+			inUse := c.demand.adapterRunning(engine.upstream.ID, name) > 0
+			if name != wanted && !inUse && (oldest == "" || at < oldestAt) {
 				oldest, oldestAt = name, at
 			}
 		}
 	}
 	if count < service.Engine.AdapterPlaces {
-		return ""
+		return "", false
 	}
-	return oldest
+	return oldest, true
 }
 
 func (c *Coordinator) dropAdapter(ctx context.Context, engine *engineState, name string) bool {
 	model, adapter := splitAdapter(name)
-	if _, ok := c.give(ctx, engine, Order{Unload: true, Model: model, Adapter: adapter}); !ok {
-		return false
+	result, ok := c.give(ctx, engine, Order{Unload: true, Model: model, Adapter: adapter})
+	if !ok || result != OrderHolds {
+		return false // an adapter in use goes later; reports will show it
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -38,8 +38,8 @@
 	unreachable bool
 }
 
-// runningKey names the requests of a model at an upstream.
-type runningKey struct{ upstream, model string }
+// runningKey names the requests of a model and adapter at an upstream.
+type runningKey struct{ upstream, model, adapter string }
 
 // Directory knows the upstreams, what they hold, and how busy they are. It is
 // safe for concurrent use.
@@ -240,7 +240,7 @@
 	defer d.mu.Unlock()
 	counts := make([]coordinator.RunningCount, 0, len(d.running))
 	for key, count := range d.running {
-		counts = append(counts, coordinator.RunningCount{Upstream: key.upstream, Model: key.model, Count: count})
+		counts = append(counts, coordinator.RunningCount{Upstream: key.upstream, Model: key.model, Adapter: key.adapter, Count: count})
 	}
 	return counts
 }
@@ -260,8 +260,8 @@
 }
 
 // Enter counts a request at an upstream until the returned function is called.
-func (d *Directory) Enter(id, model string) (leave func()) {
-	key := runningKey{id, model}
+func (d *Directory) Enter(id, model, adapter string) (leave func()) {
+	key := runningKey{id, model, adapter}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running[key]++
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -22,6 +22,9 @@
 	notRunPause = 60 * time.Millisecond
 	// runTime is kept of a caller's patience for the run itself.
 	runTime = 250 * time.Millisecond
+	// drainRun is the time for a run that must be left when a request that waits
+	// is not refused by a host that shuts down.
+	drainRun = 4 * time.Second
 	// unknownWait is how long a request waits without an estimate.
 	unknownWait = 700 * time.Millisecond
 	// adapterTries bounds the calls for an adapter.
@@ -173,6 +176,8 @@
 		return d.timedOut()
 	case known && readyIn > left:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetry, readyIn)}
+	case g.endsWithin(drainRun):
+		return &refusal{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: shortRetry}
 	case left <= 0, !known && now.Sub(d.begun) > unknownWait:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetry}
 	}
@@ -204,7 +209,7 @@
 	}
 	id := candidate.Upstream.ID
 	d.record.upstream = id
-	leave := d.gateway.directory.Enter(id, d.request.Model)
+	leave := d.gateway.directory.Enter(id, d.request.Model, d.request.Adapter)
 	defer leave()
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	metrics     *metrics
 	inFlight    atomic.Int64
 	draining    atomic.Bool
+	ends        atomic.Pointer[time.Time] // end of a shutdown; nil: none
 }
 
 // New returns a gateway that does nothing until Run.
@@ -285,11 +286,18 @@
 	}
 }
 
+// endsWithin reports whether the host ends within a time.
+func (g *Gateway) endsWithin(d time.Duration) bool {
+	ends := g.ends.Load()
+	return ends != nil && time.Until(*ends) < d
+}
+
 // shutdown reports not ready, hands the coordination over, and lets the
 // requests in progress finish.
 func (g *Gateway) shutdown(server *http.Server) {
-	g.draining.Store(true)
 	deadline := time.Now().Add(g.settings.ShutdownTimeout() - exitMargin)
+	g.ends.Store(&deadline)
+	g.draining.Store(true)
 	g.log.Info("Shutting down.", "requests", g.inFlight.Load(), "coordinator", g.keeper.Held())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/tests/gateway/failure_test.go
+++ b/tests/gateway/failure_test.go
@@ -163,3 +163,18 @@
 		t.Errorf("status %d after %v, Retry-After %q", got.status, got.took, got.header.Get("Retry-After"))
 	}
 }
+
+// A request that waits for a model when its host shuts down is refused while
+// another host can still serve it, not cut at the end (LOST, tokachi fresh-8433).
+func TestWaitingRequestAtShutdown(t *testing.T) {
+	r := newRig(t, 1)
+	r.engine.LoadTime = 30 * time.Second
+	result := make(chan reply)
+	go func() { result <- r.chat(0, "/review/1", "waits", "m6") }()
+	r.await("in progress", func() bool { return r.hosts[0].State().InFlight == 1 })
+	r.hosts[0].stop()
+	got := <-result
+	if got.broken || got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, broken %v", got.status, got.broken)
+	}
+}
