Bound the coordinator's work in large fleets; explain requests from logs

Cause: on the grown fleets (69 and 72 hosts) each answer of the coordinator carried the whole view of 90 to 140 engines, each plan looked at all engines for each model, and hosts of 0.19 core coordinated. A model that an engine lacked stayed missing from a host's view. Change: views by changes, running counts kept in sums, replicas indexed in one pass, exchange periods that grow with the fleet, small hosts leave the lease to others, doubts about an engine make the coordinator read its report. arbutusctl explain reads logs.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +22,8 @@
 	// downHosts is the number of hosts that must not reach an engine before it
 	// counts as down.
 	downHosts = 2
+	// askPause separates two reports of an engine that hosts doubt.
+	askPause = 300 * time.Millisecond
 	// rateWindow is the window of the weight store's rate.
 	rateWindow = 5 * time.Second
 	// estimateLimit is the longest time for which a load in the queue of the
@@ -59,8 +60,7 @@
 	ledger      *allowance.Ledger
 	demand      *demandBook
 	fleet       map[string]*engineState // by upstream ID
-	view        View
-	viewDirty   bool
+	views       viewBook
 	storeStarts []time.Duration
 	estimates   []Estimate
 	actions     sync.WaitGroup
@@ -85,7 +85,7 @@
 	c.ledger = allowance.NewLedger(clock.SinceBoot(), first, hosts)
 	c.demand = newDemandBook()
 	c.fleet = map[string]*engineState{}
-	c.viewDirty = true
+	c.views = newViewBook()
 	c.estimates = nil
 }
 
@@ -107,6 +107,11 @@
 	defer c.mu.Unlock()
 	c.ledger.Hear(now, request.Host)
 	c.demand.note(now, request)
+	for _, id := range request.Doubts {
+		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextAsk {
+			engine.doubted = true
+		}
+	}
 	revision, validFor := c.lease.Validity()
 	reply := &ExchangeReply{
 		Holder: true, Epoch: epoch, Revision: revision, ValidForMS: validFor.Milliseconds(), Hosts: len(c.ledger.Hosts()),
@@ -114,13 +119,9 @@
 	if config != nil {
 		reply.Grants = c.grants(now, config, request)
 	}
-	c.refreshView()
-	if request.Epoch != epoch || request.ViewVersion != c.view.Version {
-		view := c.view
-		reply.View = &view
-	}
+	reply.View = c.views.since(c.fleet, request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
-	reply.Running = c.othersRunning(request.Host)
+	reply.Running = c.demand.others(request.Host)
 	return reply
 }
 
@@ -136,30 +137,6 @@
 	return grants
 }
 
-func (c *Coordinator) othersRunning(host string) []RunningCount {
-	var counts []RunningCount
-	for upstream, models := range c.demand.running(host) {
-		total := 0
-		for _, count := range models {
-			total += count
-		}
-		counts = append(counts, RunningCount{Upstream: upstream, Count: total})
-	}
-	return counts
-}
-
-func (c *Coordinator) refreshView() {
-	if !c.viewDirty {
-		return
-	}
-	c.viewDirty = false
-	engines := make([]EngineView, 0, len(c.fleet))
-	for _, id := range slices.Sorted(maps.Keys(c.fleet)) {
-		engines = append(engines, c.fleet[id].view())
-	}
-	c.view = View{Version: c.view.Version + 1, Engines: engines}
-}
-
 func (c *Coordinator) estimatesFor(request *ExchangeRequest) []Estimate {
 	var wanted []Estimate
 	for _, estimate := range c.estimates {
@@ -223,18 +200,16 @@
 		engine := c.fleet[upstream.ID]
 		if engine == nil || engine.upstream.Born != upstream.Born {
 			c.fleet[upstream.ID] = newEngineState(upstream)
-			c.viewDirty = true
 			continue
 		}
 		if engine.upstream != upstream {
 			engine.noteEntry(upstream)
-			c.viewDirty = true
 		}
 	}
 	for id := range c.fleet {
 		if !present[id] {
 			delete(c.fleet, id)
-			c.viewDirty = true
+			c.views.remove(id)
 		}
 	}
 }
@@ -249,7 +224,7 @@
 			continue
 		}
 		engine.down = down
-		c.viewDirty = true
+		engine.changed = true
 		c.log.Info("Engine's reachability changed.", "upstream", id, "down", down, "hosts", counts[id])
 	}
 }
@@ -268,6 +243,10 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			engine.asking = false
+			if engine.doubted {
+				engine.doubted = false
+				engine.nextAsk = clock.SinceBoot() + askPause
+			}
 			if !read || !engine.settled() {
 				engine.retryAt = clock.SinceBoot() + failurePause
 			}
@@ -280,7 +259,7 @@
 		Now: now, Service: service, Demand: c.demand.of(now, service.Name),
 		StoreStarts: c.storeAllowance(now, service.Engine), Prefetch: true,
 	}
-	running := c.demand.running("")
+	running := c.demand.running()
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
 			state.Engines = append(state.Engines, engine.planned(now, running[engine.upstream.ID]))
@@ -305,7 +284,7 @@
 	engine.occupied = true
 	engine.loading = &action
 	engine.readyAt = now + action.Takes + swapTime
-	c.viewDirty = true
+	engine.changed = true
 	if action.Source == FromStore {
 		c.storeStarts = append(c.storeStarts, now)
 	}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -123,7 +123,12 @@
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	awaitView(t, c, func(v EngineView) bool { _, ok := v.Ready["m0"]; return ok })
+	awaitView(t, c, func(v EngineView) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, ready := v.Ready["m0"]
+		return ready && c.fleet["e1"].known // its report was read
+	})
 	return c, engine
 }
 
@@ -171,6 +176,8 @@
 		reply := c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: fmt.Sprintf("a%d", i%12)})
 		if reply.Upstream != "" {
 			loaded++
+		} else {
+			t.Logf("a%d: %s", i%12, reply.Reason)
 		}
 	}
 	if len(engine.overfull) > 0 {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -38,13 +38,42 @@
 type demandBook struct {
 	rates map[ModelKey]*modelRate
 	hosts map[string]hostWord
+	// atUpstream and atModel count the requests of all hosts.
+	atUpstream map[string]int
+	atModel    map[upstreamModel]int
+	atAdapter  map[upstreamModel]int // the model as MODEL/ADAPTER
 }
 
+type upstreamModel struct{ upstream, model string }
+
 func newDemandBook() *demandBook {
-	return &demandBook{rates: map[ModelKey]*modelRate{}, hosts: map[string]hostWord{}}
+	return &demandBook{
+		rates: map[ModelKey]*modelRate{}, hosts: map[string]hostWord{},
+		atUpstream: map[string]int{}, atModel: map[upstreamModel]int{}, atAdapter: map[upstreamModel]int{},
+	}
+}
+
+// count adds a host's requests, or takes them away with sign -1.
+func (b *demandBook) count(running []RunningCount, sign int) {
+	for _, r := range running {
+		addTo(b.atUpstream, r.Upstream, sign*r.Count)
+		addTo(b.atModel, upstreamModel{r.Upstream, r.Model}, sign*r.Count)
+		if r.Adapter != "" {
+			addTo(b.atAdapter, upstreamModel{r.Upstream, r.Model + "/" + r.Adapter}, sign*r.Count)
+		}
+	}
+}
+
+func addTo[K comparable](counts map[K]int, key K, n int) {
+	counts[key] += n
+	if counts[key] == 0 {
+		delete(counts, key)
+	}
 }
 
 func (b *demandBook) note(now time.Duration, request *ExchangeRequest) {
+	b.count(b.hosts[request.Host].running, -1)
+	b.count(request.Running, 1)
 	b.hosts[request.Host] = hostWord{at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable}
 	for _, d := range request.Demand {
 		rate := b.rates[d.ModelKey]
@@ -63,6 +92,7 @@
 func (b *demandBook) forget(now time.Duration) {
 	for host, word := range b.hosts {
 		if now-word.at > hostSilence {
+			b.count(word.running, -1)
 			delete(b.hosts, host)
 		}
 	}
@@ -105,10 +135,10 @@
 			d.Waiting += m.Waiting
 			d.Oldest = max(d.Oldest, time.Duration(m.OldestMS)*time.Millisecond+now-word.at)
 		}
-		for _, r := range word.running {
-			if r.Model != "" {
-				get(r.Model).Running += r.Count // model names are unique over services
-			}
+	}
+	for at, count := range b.atModel {
+		if at.model != "" {
+			get(at.model).Running += count // model names are unique over services
 		}
 	}
 	return demand
@@ -116,29 +146,31 @@
 
 // adapterRunning returns the requests of an adapter at an upstream.
 func (b *demandBook) adapterRunning(upstream, name string) int {
-	count := 0
-	for _, word := range b.hosts {
-		for _, r := range word.running {
-			if r.Upstream == upstream && r.Adapter != "" && r.Model+"/"+r.Adapter == name {
-				count += r.Count
-			}
-		}
-	}
-	return count
+	return b.atAdapter[upstreamModel{upstream, name}]
 }
 
-// running returns the requests at each upstream, by model, but for one host's.
-func (b *demandBook) running(except string) map[string]map[string]int {
+// running returns the requests at each upstream, by model.
+func (b *demandBook) running() map[string]map[string]int {
 	counts := map[string]map[string]int{}
-	for host, word := range b.hosts {
-		if host == except {
-			continue
+	for at, count := range b.atModel {
+		if counts[at.upstream] == nil {
+			counts[at.upstream] = map[string]int{}
 		}
-		for _, r := range word.running {
-			if counts[r.Upstream] == nil {
-				counts[r.Upstream] = map[string]int{}
-			}
-			counts[r.Upstream][r.Model] += r.Count
+		counts[at.upstream][at.model] = count
+	}
+	return counts
+}
+
+// others returns the requests of all hosts but one at each upstream.
+func (b *demandBook) others(host string) []RunningCount {
+	own := map[string]int{}
+	for _, r := range b.hosts[host].running {
+		own[r.Upstream] += r.Count
+	}
+	var counts []RunningCount
+	for upstream, count := range b.atUpstream {
+		if rest := count - own[upstream]; rest > 0 {
+			counts = append(counts, RunningCount{Upstream: upstream, Count: rest})
 		}
 	}
 	return counts
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -14,6 +14,7 @@
 	holdings catalog.Holdings
 	known    bool       // a report was read, so the order count is known
 	asking   bool       // a report is being read
+	doubted  bool       // a host was told that it lacks what is known of it
 	occupied bool       // an action is in progress here
 	orders   sync.Mutex // held while an order is on its way
 	// adapterTurn is held while a place for an adapter is made and filled.
@@ -30,6 +31,10 @@
 	retryAt time.Duration
 	// down says that hosts do not reach it.
 	down bool
+	// nextAsk is when a doubt is followed up again.
+	nextAsk time.Duration
+	// changed says that the view of it may have changed.
+	changed bool
 }
 
 // unsureOrder may be carried out while the engine's order count is afterSeq.
@@ -42,7 +47,7 @@
 func newEngineState(upstream *catalog.Upstream) *engineState {
 	return &engineState{
 		upstream: upstream, holdings: upstream.Holdings,
-		loadedAt: map[string]time.Duration{}, adapters: map[string]time.Duration{},
+		loadedAt: map[string]time.Duration{}, adapters: map[string]time.Duration{}, changed: true,
 	}
 }
 
@@ -50,6 +55,7 @@
 // report was read only the copies of weights are taken from them.
 func (e *engineState) noteEntry(upstream *catalog.Upstream) {
 	e.upstream = upstream
+	e.changed = true
 	if !e.known {
 		e.holdings = upstream.Holdings
 		return
@@ -77,7 +83,7 @@
 
 // settled reports whether the content is known: a report was read, and no order
 // was in progress then. An order of an earlier coordinator may still be.
-func (e *engineState) settled() bool { return e.known && !e.holdings.Busy }
+func (e *engineState) settled() bool { return e.known && !e.doubted && !e.holdings.Busy }
 
 // reserved returns the models whose load may be carried out late.
 func (e *engineState) reserved() []string {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -45,6 +45,8 @@
 	Needs       map[string]allowance.Need `json:"needs,omitempty"`
 	// Unreachable are upstreams that refused or did not take connections.
 	Unreachable []string `json:"unreachable,omitempty"`
+	// Doubts are engines that said that they lack what the view says.
+	Doubts []string `json:"doubts,omitempty"`
 	// Tables are the revisions of the host's replicas.
 	Tables map[string]int64 `json:"tables,omitempty"`
 }
@@ -62,10 +64,12 @@
 	Ready    map[string][]string `json:"ready"` // models and their adapters
 }
 
-// View is what the coordinator knows of all engines.
+// View is what the coordinator knows of the engines that changed.
 type View struct {
 	Version int64        `json:"version"`
-	Engines []EngineView `json:"engines"`
+	Full    bool         `json:"full,omitempty"` // Engines are all engines
+	Engines []EngineView `json:"engines,omitempty"`
+	Gone    []string     `json:"gone,omitempty"` // upstreams
 }
 
 // ExchangeReply is the coordinator's answer.
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -61,7 +61,7 @@
 	models := cloneModels(engine.holdings.Models)
 	delete(models, model)
 	engine.holdings.Models = models
-	c.viewDirty = true
+	engine.changed = true
 	return true
 }
 
@@ -73,7 +73,7 @@
 	if engine.holdings.Holds(action.Load) {
 		engine.loadedAt[action.Load] = clock.SinceBoot()
 	}
-	c.viewDirty = true
+	engine.changed = true
 }
 
 // perform gives one order and waits until it is carried out. It reports
@@ -204,7 +204,7 @@
 		holdings.OnDisk, holdings.InMemory = engine.holdings.OnDisk, engine.holdings.InMemory
 	}
 	engine.learn(holdings)
-	c.viewDirty = true
+	engine.changed = true
 	return true
 }
 
@@ -251,7 +251,7 @@
 		models[request.Model] = append(slices.Clone(adapters), request.Adapter)
 		engine.holdings.Models = models
 	}
-	c.viewDirty = true
+	engine.changed = true
 	reply := &AdapterReply{Upstream: engine.upstream.ID}
 	if result == OrderAccepted {
 		reply.ReadyInMS = int(adapterTime.Milliseconds())
@@ -333,7 +333,7 @@
 	models := cloneModels(engine.holdings.Models)
 	models[model] = slices.DeleteFunc(slices.Clone(models[model]), func(a string) bool { return a == adapter })
 	engine.holdings.Models = models
-	c.viewDirty = true
+	engine.changed = true
 	return true
 }
 
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -36,6 +36,8 @@
 	prefetchIdle = 1500 * time.Millisecond
 	// adapterWait is the part of a model's requests that may wait for an adapter.
 	adapterWait = 0.05
+	// mostNeeds bounds the models for which a place is looked for in one round.
+	mostNeeds = 24
 	// aheadValue is below that of any model that is asked for.
 	aheadValue = 0.01
 	// loadPenalty multiplies the rate of an engine with many requests when a
@@ -106,8 +108,9 @@
 
 type planner struct {
 	State
-	taken   map[string]bool // engines with an action
-	stores  int             // loads from the weight store in progress
+	index   map[string]*replicas // by model
+	taken   map[string]bool      // engines with an action
+	stores  int                  // loads from the weight store in progress
 	started int
 	actions []Action
 }
@@ -122,18 +125,70 @@
 
 // Plan returns the actions to begin now, the most valuable first.
 func Plan(state State) []Action {
-	p := &planner{State: state, taken: map[string]bool{}}
+	p := &planner{State: state, taken: map[string]bool{}, index: indexReplicas(state.Engines)}
 	for _, engine := range state.Engines {
 		if engine.Loading != "" && engine.LoadingFromStore {
 			p.stores++
 		}
 	}
-	for _, n := range p.needs() {
+	for i, n := range p.needs() {
+		if i == mostNeeds {
+			break // the next round comes soon
+		}
 		p.place(n)
 	}
 	return p.actions
 }
 
+// replicas says where a model is ready, being loaded, and kept as a copy.
+type replicas struct{ ready, coming, copies int }
+
+var noReplicas replicas
+
+// indexReplicas counts the replicas of all models in one pass.
+func indexReplicas(engines []*Engine) map[string]*replicas {
+	index := map[string]*replicas{}
+	of := func(model string) *replicas {
+		if index[model] == nil {
+			index[model] = &replicas{}
+		}
+		return index[model]
+	}
+	for _, engine := range engines {
+		if engine.Leaving {
+			continue
+		}
+		coming := engine.Reserved
+		if engine.Loading != "" && !slices.Contains(coming, engine.Loading) {
+			coming = append(slices.Clone(coming), engine.Loading)
+		}
+		for _, model := range coming {
+			of(model).coming++
+		}
+		for model := range engine.Holdings.Models {
+			if !slices.Contains(coming, model) {
+				of(model).ready++
+			}
+		}
+		for _, model := range engine.Holdings.OnDisk {
+			of(model).copies++
+		}
+		for _, model := range engine.Holdings.InMemory {
+			if !slices.Contains(engine.Holdings.OnDisk, model) {
+				of(model).copies++
+			}
+		}
+	}
+	return index
+}
+
+func (p *planner) replicas(model string) replicas {
+	if r := p.index[model]; r != nil {
+		return *r
+	}
+	return noReplicas
+}
+
 func (p *planner) needs() []need {
 	var needs []need
 	for model := range p.Service.Engine.Models {
@@ -148,7 +203,8 @@
 }
 
 func (p *planner) needOf(model string) (need, bool) {
-	ready, coming, copies := p.replicas(model)
+	r := p.replicas(model)
+	ready, coming, copies := r.ready, r.coming, r.copies
 	demand := p.Demand[model]
 	if demand == nil {
 		demand = &Demand{}
@@ -173,25 +229,6 @@
 	return need{}, false
 }
 
-// replicas counts where a model is ready, being loaded, and kept as a copy.
-func (p *planner) replicas(model string) (ready, coming, copies int) {
-	for _, engine := range p.Engines {
-		if engine.Leaving {
-			continue
-		}
-		switch {
-		case engine.Loading == model || slices.Contains(engine.Reserved, model):
-			coming++
-		case engine.Holdings.Holds(model):
-			ready++
-		}
-		if p.source(engine, model) != FromStore {
-			copies++
-		}
-	}
-	return ready, coming, copies
-}
-
 func (p *planner) source(engine *Engine, model string) Source {
 	switch {
 	case slices.Contains(engine.Holdings.InMemory, model):
@@ -217,6 +254,9 @@
 
 // place chooses an engine for a need, if there is one.
 func (p *planner) place(n need) {
+	if p.replicas(n.model).copies == 0 && p.storeFull() {
+		return
+	}
 	var best *Action
 	bestCost := 0.0
 	for _, engine := range p.Engines {
@@ -236,13 +276,16 @@
 	p.actions = append(p.actions, *best)
 }
 
+// storeFull reports whether no further load from the weight store may begin.
+func (p *planner) storeFull() bool { return p.stores >= storeLoads || p.started >= p.StoreStarts }
+
 // try returns the action and its cost in seconds if the engine can take the model.
 func (p *planner) try(engine *Engine, n need) (Action, float64, bool) {
 	if engine.Leaving || engine.Occupied || p.taken[engine.ID] || engine.Holdings.Holds(n.model) {
 		return Action{}, 0, false
 	}
 	source := p.source(engine, n.model)
-	if source == FromStore && (p.stores >= storeLoads || p.started >= p.StoreStarts) {
+	if source == FromStore && p.storeFull() {
 		return Action{}, 0, false
 	}
 	victims, lost, ok := p.makeRoom(engine, n)
@@ -343,7 +386,7 @@
 	if demand == nil {
 		return 0, true
 	}
-	ready, _, _ := p.replicas(model)
+	ready := p.replicas(model).ready
 	if ready <= 1 && demand.Waiting > 0 {
 		return 0, false
 	}
--- a/internal/ctl/operator_observe.go
+++ b/internal/ctl/operator_observe.go
@@ -62,19 +62,29 @@
 
 func newExplainCommand() *cobra.Command {
 	client := &operatorClient{}
+	var logs []string
 	cmd := &cobra.Command{
 		Use:   "explain REQUEST-ID",
 		Short: "Explain what was decided on a request",
 		Long: `Prints the decisions that were taken on a request as JSON. REQUEST-ID is the
 value of the X-Request-Id header of its response, or the request_id of its
 problem document. Any host can be asked; it asks the host that the identifier
-names. A host keeps its newest requests only, and forgets them when it ends.`,
-		Example: `  arbutusctl explain 5f1c0a9be0d1c4b2a7e6d3f8 --server 10.0.0.3:7001`,
-		Args:    cobra.ExactArgs(1),
+names. A host keeps its newest requests only, and forgets them when it ends.
+
+With --log, no host is asked: the lines about the request in the logs of gateway
+hosts are printed, marked by ">", together with the events around it on its host,
+its model and its upstreams.`,
+		Example: `  arbutusctl explain 5f1c0a9be0d1c4b2a7e6d3f8 --server 10.0.0.3:7001
+  arbutusctl explain 2e4a8901baecdaab --log front-1.log --log front-2.log`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return explainLogs(cmd.OutOrStdout(), args[0], logs)
+			}
 			return client.print(cmd, "/explain/"+url.PathEscape(args[0]))
 		},
 	}
+	cmd.Flags().StringArrayVar(&logs, "log", nil, "log of a gateway host; - for standard input (repeatable)")
 	client.addFlags(cmd)
 	return cmd
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -22,6 +22,8 @@
 	// with each further failure up to maxPenalty.
 	firstPenalty = 500 * time.Millisecond
 	maxPenalty   = 4 * time.Second
+	// absentFor is how long an engine is not asked for what it said it lacks.
+	absentFor = 400 * time.Millisecond
 	// failureWeight is the weight of a new outcome in an upstream's failure rate.
 	failureWeight = 0.2
 )
@@ -60,6 +62,7 @@
 	health   map[string]*health
 	running  map[runningKey]int
 	others   map[string]int // requests of other hosts, by upstream
+	absent   map[runningKey]time.Time
 	changed  chan struct{}
 	snapshot []*catalog.Upstream // nil: to be made
 }
@@ -70,6 +73,7 @@
 		decode: decode, log: log, forget: forget,
 		entries: map[string]*catalog.Upstream{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
+		absent:  map[runningKey]time.Time{},
 		running: map[runningKey]int{}, others: map[string]int{}, changed: make(chan struct{}),
 	}
 	d.Replica.Apply = d.Apply
@@ -220,7 +224,12 @@
 		return
 	}
 	d.epoch, d.version = reply.Epoch, reply.View.Version
-	d.engines = map[string]coordinator.EngineView{}
+	if reply.View.Full {
+		d.engines = map[string]coordinator.EngineView{}
+	}
+	for _, id := range reply.View.Gone {
+		delete(d.engines, id)
+	}
 	for _, engine := range reply.View.Engines {
 		d.engines[engine.Upstream] = engine
 	}
@@ -335,12 +344,12 @@
 			continue
 		}
 		adapters, holds := d.holds(entry, model)
-		if model != "" && !holds {
+		if model != "" && (!holds || d.isAbsent(id, model, "", now)) {
 			continue
 		}
 		candidate := Candidate{
 			Upstream: entry, Load: local[id] + d.others[id],
-			Adapter: adapter == "" || slices.Contains(adapters, adapter),
+			Adapter: adapter == "" || (slices.Contains(adapters, adapter) && !d.isAbsent(id, model, adapter, now)),
 		}
 		if h := d.health[id]; h != nil {
 			candidate.Avoid, candidate.Failures = now.Before(h.avoidUntil), h.failures
@@ -378,20 +387,33 @@
 	}
 }
 
-// NoteAbsent records that an engine said that it lacks a model or adapter.
+// NoteAbsent records that an engine said that it lacks a model or adapter: it is
+// not asked again for a moment, and the coordinator is told to look.
 func (d *Directory) NoteAbsent(id, model, adapter string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view, ok := d.engines[id]
-	if !ok {
-		return
-	}
-	ready := maps.Clone(view.Ready)
-	if adapter != "" {
-		ready[model] = slices.DeleteFunc(slices.Clone(ready[model]), func(a string) bool { return a == adapter })
-	} else {
-		delete(ready, model)
+	d.absent[runningKey{id, model, adapter}] = time.Now().Add(absentFor)
+}
+
+// Doubts returns the engines that lack what the view says.
+func (d *Directory) Doubts() []string {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for key, until := range d.absent {
+		if now.After(until) {
+			delete(d.absent, key)
+			continue
+		}
+		if !slices.Contains(ids, key.upstream) {
+			ids = append(ids, key.upstream)
+		}
 	}
-	view.Ready = ready
-	d.engines[id] = view
+	return ids
+}
+
+// isAbsent reports whether an engine has just said that it lacks a model or adapter.
+func (d *Directory) isAbsent(id, model, adapter string, now time.Time) bool {
+	return now.Before(d.absent[runningKey{id, model, adapter}])
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,10 @@
 	// exchangeBusy applies while requests wait for a model or an allowance.
 	exchangeEvery = 200 * time.Millisecond
 	exchangeBusy  = 80 * time.Millisecond
+	// exchangePerHost and busyPerHost stretch the periods in large fleets, as all
+	// hosts ask the same coordinator.
+	exchangePerHost = 6 * time.Millisecond
+	busyPerHost     = 2500 * time.Microsecond
 	// exchangeGap is the least time between two exchanges.
 	exchangeGap = 40 * time.Millisecond
 	// exchangeTimeout bounds an exchange.
@@ -92,9 +96,10 @@
 }
 
 func (e *exchanger) pause(ctx context.Context, begun time.Time) {
-	period := exchangeEvery
+	hosts := time.Duration(e.hosts.Load())
+	period := max(exchangeEvery, hosts*exchangePerHost)
 	if e.waiting.any() {
-		period = exchangeBusy
+		period = max(exchangeBusy, hosts*busyPerHost)
 	}
 	timer := time.NewTimer(period - min(period, time.Since(begun)))
 	defer timer.Stop()
@@ -102,7 +107,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-e.wake:
-		sleep(ctx, exchangeGap)
+		sleep(ctx, max(exchangeGap, hosts*busyPerHost/2))
 	}
 }
 
@@ -155,7 +160,7 @@
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
 		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
-		Unreachable: e.directory.Unreachable(), Tables: map[string]int64{},
+		Unreachable: e.directory.Unreachable(), Doubts: e.directory.Doubts(), Tables: map[string]int64{},
 	}
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,10 @@
 	upstreamPause = 250 * time.Millisecond
 	// leaseDuration is how long a renewal of the lease is valid.
 	leaseDuration = 2 * time.Second
+	// coordinatorShare is the part of a core below which a host leaves the
+	// coordination to larger ones, if there are any.
+	coordinatorShare = 0.35
+	reluctance       = 700 * time.Millisecond
 	// leaseSlack covers differences of clocks and orders on their way.
 	leaseSlack = 250 * time.Millisecond
 	// drainNotice is the time between reporting not ready and closing the
@@ -111,6 +115,9 @@
 			Duration: leaseDuration, Handover: s.Handover(), Slack: leaseSlack,
 		},
 	}
+	if s.ProcessorShare > 0 && s.ProcessorShare < coordinatorShare {
+		g.keeper.Reluctance = reluctance
+	}
 	g.coordinator = coordinator.New(s.Host, g.keeper, knowledge{g.directory, g.config}, options.Engines, options.Log)
 	g.exchanger = &exchanger{
 		settings: &g.settings, log: options.Log, keeper: g.keeper, coordinator: g.coordinator, config: g.config.current.Load,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,8 @@
 	Platform string `json:"platform"`
 	// MemoryMB is the memory that the process may use; 0: not limited.
 	MemoryMB float64 `json:"memory_mb"`
+	// ProcessorShare is the part of a core that the process may use; 0: unknown.
+	ProcessorShare float64 `json:"processor_share"`
 	// ShutdownTimeoutS bounds a graceful shutdown, in seconds.
 	ShutdownTimeoutS float64 `json:"shutdown_timeout_s"`
 	// KeyConfirmationMS is how long keys may be accepted after the platform
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -44,6 +44,8 @@
 	Log     logr.Logger
 	// Hosts returns the hosts to be named in the row.
 	Hosts func() []string
+	// Reluctance is how long this host leaves a free lease to others.
+	Reluctance time.Duration
 	// Reached reports whether the coordinator answers this host, so that no
 	// look at the row is needed.
 	Reached func() bool
@@ -204,9 +206,15 @@
 		k.held = false // handed over
 	}
 	k.mu.Unlock()
-	if !closing && k.Terms.Claimable(last, k.Host, now) {
-		k.claim(ctx, last)
+	if closing || !k.Terms.Claimable(last, k.Host, now) {
+		return
+	}
+	if k.Reluctance > 0 && now-last.Since < k.Reluctance {
+		pause(ctx, k.Reluctance)
+		k.Hurry()
+		return // the next look shows whether another host has taken it
 	}
+	k.claim(ctx, last)
 }
 
 func (k *Keeper) get(ctx context.Context) (table.Row, error) {
