--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -36,6 +36,8 @@
 	Held() bool
 	// Validity returns the revision of the lease's row and how long it holds.
 	Validity() (revision int64, validFor time.Duration)
+	// OrdersIn returns the time until orders may be given.
+	OrdersIn() time.Duration
 	// MayOrder returns the fencing number if an order may be given that
 	// arrives within the time.
 	MayOrder(arrival time.Duration) (fence int64, ok bool)
@@ -300,6 +302,7 @@
 // estimate says when the models that requests wait for will be ready.
 func (c *Coordinator) estimate(now time.Duration, service *catalog.Service, state State) {
 	var queued []string
+	pause := c.lease.OrdersIn()
 	for model, demand := range state.Demand {
 		if demand.Waiting == 0 {
 			continue
@@ -310,7 +313,7 @@
 			continue
 		}
 		if c.copyExists(service.Name, model) {
-			c.announce(service.Name, model, service.Engine.Models[model].LoadDisk+swapTime)
+			c.announce(service.Name, model, pause+service.Engine.Models[model].LoadDisk+swapTime)
 			continue
 		}
 		queued = append(queued, model)
@@ -320,7 +323,7 @@
 	})
 	for i, model := range queued {
 		turn := time.Duration(i/storeLoads+1) * service.Engine.Models[model].Load
-		c.announce(service.Name, model, min(turn+swapTime, estimateLimit))
+		c.announce(service.Name, model, min(pause+turn+swapTime, estimateLimit))
 	}
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -16,6 +16,7 @@
 // heldLease is a lease that this host holds for as long as set.
 type heldLease struct{}
 
+func (heldLease) OrdersIn() time.Duration                { return 0 }
 func (heldLease) Held() bool                             { return true }
 func (heldLease) Validity() (int64, time.Duration)       { return 1, time.Second }
 func (heldLease) MayOrder(time.Duration) (int64, bool)   { return 1, true }
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -106,6 +106,8 @@
 	Upstream  string `json:"upstream"` // "": nowhere
 	ReadyInMS int    `json:"ready_in_ms"`
 	Reason    string `json:"reason,omitempty"` // why nowhere
+	// RetryInMS is the time until orders may be given again; 0: now.
+	RetryInMS int `json:"retry_in_ms,omitempty"`
 }
 
 // Order is an order to an engine.
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -219,6 +219,9 @@
 	case loaded:
 		return &AdapterReply{Upstream: engine.upstream.ID}
 	}
+	if pause := c.lease.OrdersIn(); pause > 0 {
+		return &AdapterReply{Reason: "orders pause", RetryInMS: int(pause.Milliseconds())}
+	}
 	engine.adapterTurn.Lock()
 	defer engine.adapterTurn.Unlock()
 	return c.loadAdapter(ctx, engine, request)
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -99,9 +99,10 @@
 	present := map[string]bool{}
 	for _, row := range rows {
 		present[row.Key] = true
-		d.applyRow(row, now)
+		d.applyRow(row, now, full)
 	}
 	if full {
+		d.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(d.entries))
 		for id := range d.entries {
 			if !present[id] {
 				d.remove(id, now)
@@ -127,7 +128,7 @@
 	d.lostAt = time.Now()
 }
 
-func (d *Directory) applyRow(row table.Row, now time.Time) {
+func (d *Directory) applyRow(row table.Row, now time.Time, quiet bool) {
 	if row.Deleted {
 		d.remove(row.Key, now)
 		return
@@ -141,6 +142,8 @@
 	known := d.entries[row.Key]
 	d.entries[row.Key] = entry
 	switch {
+	case known == nil && quiet:
+		// one line for the whole table
 	case known == nil:
 		d.log.Info("Upstream found.", "upstream", entry.ID, "service", entry.Service, "address", entry.Address,
 			"data_center", entry.DataCenter, "leaving", entry.Leaving, "revision", row.Revision)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -148,10 +148,13 @@
 	reason := errorText(err)
 	if err == nil {
 		reason = reply.Reason
+		if pause := time.Duration(reply.RetryInMS) * time.Millisecond; pause > d.patienceLeft() {
+			return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: pause}
+		}
 	}
 	d.gateway.log.Info("Adapter not loaded.", "request", d.request.ID, "model", d.request.Model,
 		"adapter", d.request.Adapter, "asked", *asked, "reason", reason)
-	if *asked >= adapterTries || d.ctx.Err() != nil {
+	if d.ctx.Err() != nil || (*asked >= adapterTries && (err != nil || reply.RetryInMS == 0)) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded: " + reason, retryAfter: shortRetry}
 	}
 	sleep(d.ctx, adapterPause)
@@ -164,12 +167,8 @@
 	done := g.exchanger.waiting.wait(d.model, d.begun)
 	defer done()
 	g.exchanger.hurry()
-	patience := min(d.route.Patience(), d.deadline.Sub(d.begun))
-	if d.relay.begun {
-		patience = d.deadline.Sub(d.begun)
-	}
 	now := time.Now()
-	left := patience - now.Sub(d.begun) - runTime
+	left := d.patienceLeft()
 	readyIn, known := g.exchanger.waiting.estimate(now, d.model)
 	switch {
 	case d.ctx.Err() != nil:
@@ -191,6 +190,15 @@
 	return nil
 }
 
+// patienceLeft returns how long the request may wait before its run begins.
+func (d *dispatcher) patienceLeft() time.Duration {
+	patience := d.deadline.Sub(d.begun)
+	if !d.relay.begun {
+		patience = min(patience, d.route.Patience())
+	}
+	return patience - time.Since(d.begun) - runTime
+}
+
 // timedOut is the answer when time is up or the caller has left.
 func (d *dispatcher) timedOut() *refusal {
 	if d.runs > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/call"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
@@ -110,7 +111,7 @@
 	g.config.replica.Apply = g.config.apply
 	g.directory = NewDirectory(options.DecodeUpstream, g.pool.Forget, options.Log)
 	g.keeper = &lease.Keeper{
-		Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
+		Started: clock.SinceBoot(), Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
 		Terms: lease.Terms{
 			Duration: leaseDuration, Handover: s.Handover(), Slack: leaseSlack,
 		},
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -29,6 +29,10 @@
 	lookSpread = 250 * time.Millisecond
 	// hurrySpread is the spread of looks after the coordinator said that it is none.
 	hurrySpread = 60 * time.Millisecond
+	// reluctancePerUptime is the uptime for which a host waits one unit of time
+	// before it takes a released lease, up to mostUptimeReluctance.
+	reluctancePerUptime  = 100
+	mostUptimeReluctance = 200 * time.Millisecond
 	// callTimeout bounds a call to the table service.
 	callTimeout = 600 * time.Millisecond
 	// releaseTimeout bounds the release at shutdown.
@@ -46,6 +50,8 @@
 	Hosts func() []string
 	// Reluctance is how long this host leaves a free lease to others.
 	Reluctance time.Duration
+	// Started is when the process started, on the clock that includes suspension.
+	Started time.Duration
 	// Reached reports whether the coordinator answers this host, so that no
 	// look at the row is needed.
 	Reached func() bool
@@ -122,6 +128,17 @@
 	return k.seen.Record.Epoch, true
 }
 
+// OrdersIn returns the time until this host may order, 0 if it may now.
+func (k *Keeper) OrdersIn() time.Duration {
+	now := clock.SinceBoot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closing {
+		return k.Terms.Handover // the next holder waits so long
+	}
+	return max(0, k.ordersFrom-now)
+}
+
 // Coordinator returns the record that was last seen.
 func (k *Keeper) Coordinator() Record {
 	k.mu.Lock()
@@ -209,14 +226,24 @@
 	if closing || !k.Terms.Claimable(last, k.Host, now) {
 		return
 	}
-	if k.Reluctance > 0 && now-last.Since < k.Reluctance {
-		pause(ctx, k.Reluctance)
+	if wait := k.reluctance(last.Record, now); wait > 0 && now-last.Since < wait {
+		pause(ctx, wait)
 		k.Hurry()
 		return // the next look shows whether another host has taken it
 	}
 	k.claim(ctx, last)
 }
 
+// reluctance returns how long this host leaves a free lease to others. In a
+// rolling restart those that started last go first: the others are next to end.
+func (k *Keeper) reluctance(last Record, now time.Duration) time.Duration {
+	wait := k.Reluctance
+	if last.Released && k.Started > 0 {
+		wait += min((now-k.Started)/reluctancePerUptime, mostUptimeReluctance)
+	}
+	return wait
+}
+
 func (k *Keeper) get(ctx context.Context) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -221,3 +221,18 @@
 		t.Errorf("error %v, want a DecodeError", err)
 	}
 }
+
+// In a rolling restart the lease went to hosts that were next to end, and orders
+// paused again and again (incident inc-1693).
+func TestFreshHostTakesReleasedLeaseFirst(t *testing.T) {
+	now := clock.SinceBoot()
+	old := &Keeper{Host: "old", Started: now - 30*time.Second}
+	fresh := &Keeper{Host: "fresh", Started: now - 2*time.Second}
+	released := Record{Holder: "x", Released: true}
+	if a, b := old.reluctance(released, now), fresh.reluctance(released, now); b >= a {
+		t.Errorf("a fresh host waits %v, an old one %v", b, a)
+	}
+	if got := old.reluctance(Record{Holder: "x"}, now); got != 0 {
+		t.Errorf("a lease that was not released is left for %v", got)
+	}
+}
