Keep the coordination with large hosts, and count only unmet wants as shortage

Change: small hosts wait from the moment at which the lease may be claimed, also for their own earlier lease; wants that were met do not count as shortage.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -181,6 +181,29 @@
 	f.check(t)
 }
 
+// In a large fleet a host's share is less than one request, so nearly each one
+// waits for a grant. Grants that were met counted as unmet, and a workspace below
+// its rate was refused (tuulgan grown trouble-2).
+func TestManyHostsWithinTheRate(t *testing.T) {
+	f := newPlayedFleet(72)
+	rates := even(72, 0.6*workspace.PerS)
+	f.play(3*time.Second, rates)
+	asked, taken := f.play(20*time.Second, rates)
+	f.check(t)
+	if taken < 0.97*asked {
+		t.Errorf("%.0f of %.0f tokens served", taken, asked)
+	}
+}
+
+func TestManyHostsAtSeveralTimesTheRate(t *testing.T) {
+	f := newPlayedFleet(72)
+	_, taken := f.play(20*time.Second, even(72, 5*workspace.PerS))
+	f.check(t)
+	if least := 0.85 * workspace.PerS * 20; taken < least {
+		t.Errorf("%.0f tokens served, want at least %.0f", taken, least)
+	}
+}
+
 // The coordinator ends, nobody coordinates for a while, and the next one begins
 // with an empty bucket.
 func TestCoordinatorChanges(t *testing.T) {
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -48,6 +48,7 @@
 	wants map[string]want
 }
 
+// want is what a host asked for beyond its last grant.
 type want struct {
 	amount float64
 	at     time.Duration
@@ -113,15 +114,7 @@
 	most := min(w.Burst, w.PerS*burstSeconds)
 	b.level = min(most, b.level+w.PerS*l.reachable(now)*(now-b.at).Seconds()+need.Returned)
 	b.at = now
-	b.wants[host] = want{amount: need.Want, at: now}
-	total := 0.0
-	for name, other := range b.wants {
-		if now-other.at > wantMemory {
-			delete(b.wants, name)
-			continue
-		}
-		total += other.amount
-	}
+	total := need.Want + b.unmet(now, host)
 	amount := need.Want
 	short := total > b.level
 	if short && total > 0 {
@@ -129,12 +122,27 @@
 	}
 	amount = max(0, min(amount, b.level))
 	b.level -= amount
+	b.wants[host] = want{amount: need.Want - amount, at: now}
 	return Grant{
 		Amount: amount, Share: w.PerS / float64(max(1, len(l.heard))),
 		Exhausted: short && b.level < w.PerS*exhaustedSeconds,
 	}
 }
 
+// unmet returns what other hosts wanted a moment ago and were not granted.
+func (b *bucket) unmet(now time.Duration, host string) float64 {
+	total := 0.0
+	for name, other := range b.wants {
+		switch {
+		case now-other.at > wantMemory:
+			delete(b.wants, name)
+		case name != host:
+			total += other.amount
+		}
+	}
+	return total
+}
+
 func (l *Ledger) bucket(now time.Duration, w *catalog.Workspace) *bucket {
 	b := l.buckets[w.Name]
 	if b != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,7 @@
 	// coordinatorShare is the part of a core below which a host leaves the
 	// coordination to larger ones, if there are any.
 	coordinatorShare = 0.35
-	reluctance       = 700 * time.Millisecond
+	reluctance       = 1200 * time.Millisecond
 	// leaseSlack covers differences of clocks and orders on their way.
 	leaseSlack = 250 * time.Millisecond
 	// drainNotice is the time between reporting not ready and closing the
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -226,7 +226,7 @@
 	if closing || !k.Terms.Claimable(last, k.Host, now) {
 		return
 	}
-	if wait := k.reluctance(last.Record, now); wait > 0 && now-last.Since < wait {
+	if wait := k.reluctance(last.Record, now); wait > 0 && now-k.Terms.claimableFrom(last, k.Host) < wait {
 		pause(ctx, wait)
 		k.Hurry()
 		return // the next look shows whether another host has taken it
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -84,14 +84,15 @@
 
 // Claimable reports whether a host may try to take the lease.
 func (t Terms) Claimable(o Observation, host string, now time.Duration) bool {
-	switch {
-	case o.Revision == 0, o.Record.Released:
-		return true
-	case o.Record.Holder == host:
-		return true // an earlier process of this machine
-	default:
-		return now > t.ends(o)+t.Slack
+	return now >= t.claimableFrom(o, host)
+}
+
+// claimableFrom returns when a host may try to take the lease.
+func (t Terms) claimableFrom(o Observation, host string) time.Duration {
+	if o.Revision == 0 || o.Record.Released || o.Record.Holder == host {
+		return o.Since // free, or held by an earlier process of this machine
 	}
+	return t.ends(o) + t.Slack
 }
 
 // OrdersFrom returns when a host that has just taken the lease may order. The
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -236,3 +236,26 @@
 		t.Errorf("a lease that was not released is left for %v", got)
 	}
 }
+
+// A small host took an expired lease at once, because it had seen the row long
+// before, and could not serve a large fleet (tuulgan grown trouble-2).
+func TestSmallHostLeavesExpiredLeaseToOthers(t *testing.T) {
+	terms := Terms{Duration: 100 * time.Millisecond, Handover: 10 * time.Millisecond, Slack: 5 * time.Millisecond}
+	store := &memoryTable{}
+	ctx := context.Background()
+	holder, small, large := newKeeper("a", store, terms), newKeeper("small", store, terms), newKeeper("large", store, terms)
+	small.Reluctance = 80 * time.Millisecond
+	holder.look(ctx)
+	small.look(ctx)
+	large.look(ctx)
+	time.Sleep(115 * time.Millisecond)
+	small.look(ctx)
+	if small.Held() {
+		t.Fatal("the small host took the lease at once")
+	}
+	large.look(ctx)
+	small.look(ctx)
+	if !large.Held() || small.Held() {
+		t.Errorf("held by large: %v, by small: %v", large.Held(), small.Held())
+	}
+}
