Keep adapters in transit in their places; large hosts first also after an outage

After an outage of the store a small host took the lease because it had been free for long. Between coordinators each of 70 hosts made about six calls a second. Change: an adapter stays 0.7 s after it was asked for; unloads that are done at once count as orders; the reluctance counts from the first look at which the lease is free; hosts that follow for themselves do so at a slower pace.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -31,6 +31,9 @@
 	adapterTime = 16 * time.Millisecond
 	// busyPause separates orders to an engine that is busy.
 	busyPause = 60 * time.Millisecond
+	// adapterStay is how long an adapter stays after it was asked for: it may be
+	// in transit, and the request that asked for it is on its way.
+	adapterStay = 700 * time.Millisecond
 	// unloadWait bounds the wait for an unload, which waits for runs to end.
 	unloadWait = 6 * time.Second
 )
@@ -144,6 +147,10 @@
 	case OrderAccepted:
 		engine.accepted()
 		engine.holdings.Busy = engine.holdings.Busy || order.Adapter == ""
+	case OrderHolds:
+		if order.Unload && order.Adapter != "" {
+			engine.accepted() // engines count it although it is done at once
+		}
 	case OrderUnknown:
 		engine.unsure = append(engine.unsure, unsureOrder{afterSeq: order.AfterSeq, load: loadOf(order), adapter: order.Adapter})
 		engine.unsureAt = clock.SinceBoot()
@@ -308,12 +315,13 @@
 		}
 	}
 	oldest, oldestAt := "", time.Duration(0)
+	now := clock.SinceBoot()
 	for model, adapters := range engine.holdings.Models {
 		for _, adapter := range adapters {
 			count++
 			name := model + "/" + adapter
 			at := engine.adapters[name]
-			inUse := c.demand.adapterRunning(engine.upstream.ID, name) > 0
+			inUse := c.demand.adapterRunning(engine.upstream.ID, name) > 0 || now-at < adapterStay
 			if name != wanted && !inUse && (oldest == "" || at < oldestAt) {
 				oldest, oldestAt = name, at
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,10 @@
 	staleConfig = 1500 * time.Millisecond
 	// configWait is the longest time that a watch of the configuration waits.
 	configWait = 600 * time.Millisecond
+	// hostConfigWait and hostUpstreamPause apply to hosts that only follow for
+	// themselves, until a coordinator relays again.
+	hostConfigWait    = 1100 * time.Millisecond
+	hostUpstreamPause = 600 * time.Millisecond
 	// upstreamWait and upstreamPause pace the watch of the upstreams; each
 	// heartbeat of each of them is a change.
 	upstreamWait  = 1500 * time.Millisecond
@@ -226,12 +230,16 @@
 
 func (g *Gateway) startWork(ctx context.Context, group *conc.WaitGroup, l listeners) {
 	configs := &table.Follower{
-		Reader: g.options.Reader, Table: g.options.ConfigTable, Replica: &g.config.replica, Wait: configWait, Log: g.log,
+		Reader: g.options.Reader, Table: g.options.ConfigTable, Replica: &g.config.replica, Log: g.log,
+		Pace:   func() (wait, pause time.Duration) { return g.pace(configWait, 0, hostConfigWait, 0) },
 		Needed: func() bool { return !g.exchanger.Relayed() },
 	}
 	upstreams := &table.Follower{
-		Reader: g.options.Reader, Table: g.options.UpstreamTable, Replica: &g.directory.Replica, Wait: upstreamWait,
-		Pause: upstreamPause, Log: g.log, Lost: g.directory.Lost, Needed: func() bool { return !g.exchanger.Relayed() },
+		Reader: g.options.Reader, Table: g.options.UpstreamTable, Replica: &g.directory.Replica,
+		Log: g.log, Lost: g.directory.Lost, Needed: func() bool { return !g.exchanger.Relayed() },
+		Pace: func() (wait, pause time.Duration) {
+			return g.pace(upstreamWait, upstreamPause, upstreamWait, hostUpstreamPause)
+		},
 	}
 	group.Go(func() { configs.Run(ctx) })
 	group.Go(func() { upstreams.Run(ctx) })
@@ -250,6 +258,14 @@
 	})
 }
 
+// pace returns the pace of the coordinator's or of another host's watches.
+func (g *Gateway) pace(wait, pause, hostWait, hostPause time.Duration) (time.Duration, time.Duration) {
+	if g.keeper.Held() {
+		return wait, pause
+	}
+	return hostWait, hostPause
+}
+
 func (g *Gateway) serveSide(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	if err := server.Serve(listener); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -66,6 +66,7 @@
 	validUntil time.Duration
 	ordersFrom time.Duration
 	closing    bool
+	freeSince  time.Duration // when Run first saw that the lease may be claimed; 0: it may not
 	hurry      chan struct{} // closed to end a pause; nil: nobody pauses
 }
 
@@ -155,7 +156,7 @@
 			k.renew(ctx)
 			pause(ctx, renewEvery)
 		default:
-			hurried := k.pauseOrHurry(ctx, lookEvery+rand.N(lookSpread))
+			hurried := k.pauseOrHurry(ctx, lookEvery+k.Reluctance+rand.N(lookSpread))
 			if hurried || !k.Reached() {
 				k.look(ctx)
 			}
@@ -224,9 +225,13 @@
 	}
 	k.mu.Unlock()
 	if closing || !k.Terms.Claimable(last, k.Host, now) {
+		k.freeSince = 0
 		return
 	}
-	if wait := k.reluctance(last.Record, now); wait > 0 && now-k.Terms.claimableFrom(last, k.Host) < wait {
+	if k.freeSince == 0 {
+		k.freeSince = now
+	}
+	if wait := k.reluctance(last.Record, now); wait > 0 && now-k.freeSince < wait {
 		pause(ctx, wait)
 		k.Hurry()
 		return // the next look shows whether another host has taken it
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -253,6 +253,10 @@
 	if small.Held() {
 		t.Fatal("the small host took the lease at once")
 	}
+	time.Sleep(small.Reluctance)
+	store.set(func(m *memoryTable) { m.refuse = true })
+	large.look(ctx) // nobody can take it while the store is down
+	store.set(func(m *memoryTable) { m.refuse = false })
 	large.look(ctx)
 	small.look(ctx)
 	if !large.Held() || small.Held() {
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -15,11 +15,10 @@
 	Reader  Reader
 	Table   string
 	Replica *Replica
-	// Wait is the longest time that a watch waits for a change.
-	Wait time.Duration
-	// Pause is the least time between two watches.
-	Pause time.Duration
-	Log   logr.Logger
+	// Pace returns the longest time that a watch waits for a change, and the
+	// least time between two watches.
+	Pace func() (wait, pause time.Duration)
+	Log  logr.Logger
 	// Needed reports whether the table service must be asked: it need not while
 	// another host relays the table. Optional.
 	Needed func() bool
@@ -54,7 +53,8 @@
 				f.Log.Info("Table followed again.", "table", f.Table, "revision", f.Replica.Revision())
 			}
 			connected = true
-			sleep(ctx, f.Pause)
+			_, pause := f.Pace()
+			sleep(ctx, pause)
 			continue
 		}
 		if connected && ctx.Err() == nil {
@@ -75,9 +75,10 @@
 	if revision < 0 || f.gone {
 		return f.read(ctx, asked)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchSlack)
+	wait, _ := f.Pace()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	page, err := f.Reader.Watch(ctx, f.Table, revision, f.Wait)
+	page, err := f.Reader.Watch(ctx, f.Table, revision, wait)
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
 		f.Log.Info("History is gone; reading the table again.", "table", f.Table, "revision", revision)
