Test adapters in transit beside adapters in use

Change: the other places are in use, so that the adapter in transit is the only one that could yield.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -175,11 +175,23 @@
 // it is not there, and loads it all the same (LIMIT, tokachi grown trouble-3).
 func TestAdaptersInTransitKeepTheirPlaces(t *testing.T) {
 	c, engine := startCoordinator(t, 1)
-	for i := range 60 {
-		c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: fmt.Sprintf("a%d", i)})
-	}
+	load := func(adapter string) {
+		c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: adapter})
+	}
+	var running []RunningCount
+	for i := range 7 {
+		adapter := fmt.Sprintf("a%d", i)
+		load(adapter)
+		running = append(running, RunningCount{Upstream: "e1", Model: "m0", Adapter: adapter, Count: 1})
+	}
+	time.Sleep(200 * time.Millisecond)
+	c.Exchange(1, &ExchangeRequest{Host: "h", Running: running}) // these are in use
+	load("late-1")
+	load("late-2")
+	time.Sleep(200 * time.Millisecond)
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
+	engine.check()
 	if len(engine.overfull) > 0 {
 		t.Errorf("ordered to hold %v", engine.overfull)
 	}
