Count an unload of an adapter by the report, not by its answer

Cause: an engine answers 200 to the unload of an adapter whether it was there or not, and counts only the former; counting both could leave the coordinator's count above the engine's for good, so that all reports look old.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -57,6 +57,9 @@
 	if e.holdings.Busy || order.AfterSeq != e.holdings.OrderSeq {
 		return OrderConflict, nil
 	}
+	if order.Unload && order.Adapter != "" && !slices.Contains(e.holdings.Models[order.Model], order.Adapter) {
+		return OrderHolds, nil // it is not there; this does not count
+	}
 	e.holdings.OrderSeq++
 	result := e.carryOut(order)
 	if e.loseNext > 0 {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -147,10 +147,6 @@
 	case OrderAccepted:
 		engine.accepted()
 		engine.holdings.Busy = engine.holdings.Busy || order.Adapter == ""
-	case OrderHolds:
-		if order.Unload && order.Adapter != "" {
-			engine.accepted() // engines count it although it is done at once
-		}
 	case OrderUnknown:
 		engine.unsure = append(engine.unsure, unsureOrder{afterSeq: order.AfterSeq, load: loadOf(order), adapter: order.Adapter})
 		engine.unsureAt = clock.SinceBoot()
@@ -250,7 +246,13 @@
 	case evict != "" && !c.dropAdapter(ctx, engine, evict):
 		return &AdapterReply{Reason: "no place could be freed"}
 	}
-	result, ok := c.give(ctx, engine, Order{Model: request.Model, Adapter: request.Adapter})
+	order := Order{Model: request.Model, Adapter: request.Adapter}
+	result, ok := c.give(ctx, engine, order)
+	if result == OrderConflict && evict != "" {
+		// Whether an unload that is done at once counts as an order, only the
+		// report tells, which has been read by now.
+		result, ok = c.give(ctx, engine, order)
+	}
 	if !ok {
 		return &AdapterReply{Reason: "order " + result.String()}
 	}
