Void decisions that an unanswered order has overtaken; model of the lease

Looking for it: after an unload, an order whose answer had been lost could be carried out; the load then waited 6 s, or would have been given anew with a fresh count although it no longer fitted. Actions of an earlier term could go on with their old knowledge of the engine.

--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -33,6 +33,9 @@
 	down bool
 	// nextAsk is when a doubt is followed up again.
 	nextAsk time.Duration
+	// surprises counts the reports that showed orders which were carried out
+	// without an answer: decisions made before them do not hold.
+	surprises int
 	// changed says that the view of it may have changed.
 	changed bool
 }
@@ -70,6 +73,9 @@
 	if e.known && h.OrderSeq < e.holdings.OrderSeq {
 		return
 	}
+	if e.known && h.OrderSeq > e.holdings.OrderSeq {
+		e.surprises++
+	}
 	e.holdings = h
 	e.known = true
 	e.unsure = slices.DeleteFunc(e.unsure, func(o unsureOrder) bool { return h.OrderSeq > o.afterSeq })
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -34,6 +34,8 @@
 	// adapterStay is how long an adapter stays after it was asked for: it may be
 	// in transit, and the request that asked for it is on its way.
 	adapterStay = 700 * time.Millisecond
+	// triesPerReport is the number of conflicts after which the report is read.
+	triesPerReport = 4
 	// unloadWait bounds the wait for an unload, which waits for runs to end.
 	unloadWait = 6 * time.Second
 )
@@ -117,8 +119,15 @@
 // with the one before.
 func (c *Coordinator) giveWhenFree(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
 	begun := clock.SinceBoot()
-	for {
+	surprises := c.surprises(engine)
+	for tries := 1; ; tries++ {
 		result, ok := c.give(ctx, engine, order)
+		if result == OrderConflict && tries%triesPerReport == 0 {
+			c.refresh(ctx, engine) // it may be busy with an order whose answer was lost
+		}
+		if c.surprises(engine) != surprises {
+			return result, ok // the decision is void, unless the order was accepted before
+		}
 		if ok || result != OrderConflict || clock.SinceBoot()-begun > unloadWait || ctx.Err() != nil {
 			return result, ok
 		}
@@ -126,6 +135,12 @@
 	}
 }
 
+func (c *Coordinator) surprises(engine *engineState) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return engine.surprises
+}
+
 // give sends an order with the engine's order count, so that an earlier one
 // whose answer was lost can't be carried out after it.
 func (c *Coordinator) give(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
@@ -136,6 +151,10 @@
 	engine.orders.Lock() // each order relies on the count after the one before
 	defer engine.orders.Unlock()
 	c.mu.Lock()
+	if c.fleet[engine.upstream.ID] != engine {
+		c.mu.Unlock()
+		return OrderRejected, false // decided in an earlier term, or for an earlier process
+	}
 	upstream := engine.upstream
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
 	c.mu.Unlock()
--- /dev/null
+++ b/spec/placement_lease.pml
@@ -0,0 +1,107 @@
+/*
+ * The lease of the coordinator: two hosts, one row with conditional writes, calls
+ * that are performed late and answers that are lost. Orders take up to one unit of
+ * time to arrive. Orders of different hosts must arrive at least H apart.
+ *
+ * MUTANT == 1: the next holder orders as soon as it has the lease.
+ * MUTANT == 2: a renewal holds from the end of its call, not from the start.
+ * MUTANT == 3: an order may arrive after the holder's renewal has ended.
+ */
+#ifndef MUTANT
+#define MUTANT 0
+#endif
+#define END 7    /* time that is played */
+#define D 1      /* duration of a renewal */
+#define H 4      /* time between two holders */
+#define SLACK 1  /* clocks and messages */
+#define NONE 255
+
+byte now;
+byte row_rev = 1, row_holder;
+bool held[2];
+byte valid[2], from[2];          /* may order from .. until valid */
+byte seen_rev[2], seen_at[2];
+byte call_start[2], call_rev[2]; /* NONE: no call is waited for */
+byte call_result[2];             /* 0: open, 1: written, 2: conflict */
+byte call_new[2];
+byte last_call[2];               /* one call in each unit of time */
+bool pending[2];                 /* the store has not performed the call yet */
+bool claims[2];
+bool flying; byte fly_by, fly_due;
+byte last_by = NONE, last_at;
+
+inline begin_call(i, is_claim) {
+	call_start[i] = now; last_call[i] = now; call_rev[i] = seen_rev[i]; call_result[i] = 0;
+	pending[i] = true; claims[i] = is_claim
+}
+
+inline perform(i) {
+	pending[i] = false;
+	if
+	:: row_rev == call_rev[i] ->
+		row_rev++; row_holder = i; call_new[i] = row_rev; call_result[i] = 1
+	:: else -> call_result[i] = 2
+	fi
+}
+
+inline answered(i) {
+	if
+	:: call_result[i] == 1 ->
+		if
+		:: claims[i] && !held[i] ->
+			held[i] = true;
+#if MUTANT == 1
+			from[i] = now
+#else
+			from[i] = seen_at[i] + D + SLACK + H
+#endif
+		:: else -> skip
+		fi;
+#if MUTANT == 2
+		valid[i] = now + D;
+#else
+		valid[i] = call_start[i] + D;
+#endif
+		seen_rev[i] = call_new[i]; seen_at[i] = now
+	:: call_result[i] == 2 ->
+		if
+		:: row_holder == i -> seen_rev[i] = row_rev
+		:: else -> held[i] = false; seen_rev[i] = row_rev; seen_at[i] = now
+		fi
+	fi;
+	call_start[i] = NONE
+}
+
+inline act(i) {
+	if
+	:: held[i] && call_start[i] == NONE && !pending[i] && now > last_call[i] -> begin_call(i, false)
+	:: pending[i] -> perform(i)
+	:: call_start[i] != NONE && call_result[i] != 0 -> answered(i)
+	:: call_start[i] != NONE -> call_start[i] = NONE /* the answer is lost */
+	:: !held[i] && call_start[i] == NONE && seen_rev[i] != row_rev ->
+		seen_rev[i] = row_rev; seen_at[i] = now
+	:: !held[i] && call_start[i] == NONE && !pending[i] && seen_rev[i] == row_rev &&
+	   now > last_call[i] && now > seen_at[i] + D + SLACK -> begin_call(i, true)
+#if MUTANT == 3
+	:: held[i] && !flying && now >= from[i] && now <= valid[i] + 1 ->
+#else
+	:: held[i] && !flying && now >= from[i] && now + 1 <= valid[i] ->
+#endif
+		flying = true; fly_by = i; fly_due = now + 1
+	:: else -> skip
+	fi
+}
+
+active proctype play() {
+	held[0] = true; valid[0] = D; seen_rev[0] = 1; row_holder = 0;
+	call_start[0] = NONE; call_start[1] = NONE;
+	do
+	:: now < END && !(flying && now >= fly_due) -> atomic { now++ }
+	:: atomic { flying ->
+		assert(last_by == NONE || last_by == fly_by || now >= last_at + H);
+		last_by = fly_by; last_at = now; flying = false }
+	:: true -> atomic { act(0) }
+	:: true -> atomic { act(1) }
+	:: now == END -> break
+	od
+}
