--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -37,7 +37,7 @@
 	loseNext int // orders that are carried out and not answered
 	// late says that a load, ordered long before, is carried out right after the
 	// next unload from a full engine.
-	late bool
+	late     bool
 	overfull []string
 }
 
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/rendezvous"
 )
@@ -386,16 +385,6 @@
 	return name, ""
 }
 
-// Upstream returns the entry of an engine; for tests and the state dump.
-func (c *Coordinator) Upstream(id string) *catalog.Upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if engine := c.fleet[id]; engine != nil {
-		return engine.upstream
-	}
-	return nil
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- /dev/null
+++ b/internal/table/replica_test.go
@@ -0,0 +1,96 @@
+package table
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+)
+
+func rowOf(key, value string, revision int64) Row {
+	return Row{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// contents returns what a replica holds, by key.
+func contents(r *Replica) map[string]string {
+	held := map[string]string{}
+	for _, row := range r.Since(-1).Rows {
+		held[row.Key] = string(row.Value)
+	}
+	return held
+}
+
+func TestReplicaFollowsReplica(t *testing.T) {
+	var source, copied Replica
+	now := clock.SinceBoot()
+	source.Take(Page{Rows: []Row{rowOf("a", "1", 1), rowOf("b", "1", 2)}, Revision: 2}, true, now)
+	if !copied.Accept(source.Since(copied.Revision()), now) {
+		t.Fatal("first update not accepted")
+	}
+	source.Take(Page{Rows: []Row{rowOf("a", "2", 3), {Key: "b", Revision: 4, Deleted: true}}, Revision: 5}, false, now)
+	update := source.Since(copied.Revision())
+	if update.Full || len(update.Rows) != 2 {
+		t.Errorf("update %+v, want the two changes", update)
+	}
+	copied.Accept(update, now)
+	if held := contents(&copied); len(held) != 1 || held["a"] != "2" {
+		t.Errorf("content %v", held)
+	}
+	if copied.Revision() != 5 {
+		t.Errorf("revision %d", copied.Revision())
+	}
+}
+
+// What a host tells that knows less must neither turn back the content nor
+// confirm it.
+func TestOlderReplicaConfirmsNothing(t *testing.T) {
+	var newer, older Replica
+	now := clock.SinceBoot()
+	newer.Take(Page{Rows: []Row{rowOf("a", "2", 9)}, Revision: 9}, true, now-time.Minute)
+	older.Take(Page{Rows: []Row{rowOf("a", "1", 3)}, Revision: 3}, true, now)
+	if newer.Accept(older.Since(newer.Revision()), now) {
+		t.Error("an older replica confirmed the content")
+	}
+	if held := contents(&newer); held["a"] != "2" {
+		t.Errorf("content %v", held)
+	}
+	if newer.Age() < time.Minute {
+		t.Errorf("age %v", newer.Age())
+	}
+}
+
+// The age of a relayed confirmation adds up from the store's call.
+func TestRelayedAgeAddsUp(t *testing.T) {
+	var source, copied Replica
+	now := clock.SinceBoot()
+	source.Take(Page{Revision: 1}, true, now-2*time.Second)
+	copied.Accept(source.Since(-1), now-time.Second)
+	if age := copied.Age(); age < 3*time.Second {
+		t.Errorf("age %v, want at least 3 s", age)
+	}
+	if (&Replica{}).Age() < time.Hour {
+		t.Error("an empty replica counts as confirmed")
+	}
+}
+
+func TestForgottenDeletionsGiveTheWholeTable(t *testing.T) {
+	var source Replica
+	now := clock.SinceBoot()
+	source.Take(Page{Rows: []Row{rowOf("a", "1", 1)}, Revision: 1}, true, now)
+	for i := range int64(keptDeletions + 5) {
+		source.Take(Page{Rows: []Row{{Key: "x", Revision: 2 + i, Deleted: true}}, Revision: 2 + i}, false, now)
+	}
+	if update := source.Since(2); !update.Full {
+		t.Error("deletions were forgotten, and the update is not the whole table")
+	}
+}
+
+func TestUninterestingChangesAreNotTold(t *testing.T) {
+	source := Replica{Same: func(a, b []byte) bool { return a[0] == b[0] }}
+	now := clock.SinceBoot()
+	source.Take(Page{Rows: []Row{rowOf("a", "x1", 1)}, Revision: 1}, true, now)
+	source.Take(Page{Rows: []Row{rowOf("a", "x2", 2)}, Revision: 2}, false, now)
+	if update := source.Since(1); len(update.Rows) != 0 || update.Revision != 2 {
+		t.Errorf("update %+v, want no rows at revision 2", update)
+	}
+}
