--- /dev/null
+++ b/internal/gateway/candidates.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
+
+// Candidate is an upstream that may take a request.
+type Candidate struct {
+	Upstream *catalog.Upstream
+	Load     int  // requests there, over all hosts
+	Adapter  bool // the adapter asked for is loaded
+	Avoid    bool // it failed a moment ago
+	Failures float64
+}
+
+// Candidates returns the upstreams of a service that can run a request for a
+// model (plain services: "").
+func (d *Directory) Candidates(service, model, adapter string) []Candidate {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	local := map[string]int{}
+	for key, count := range d.running {
+		local[key.upstream] += count
+	}
+	var candidates []Candidate
+	for id, entry := range d.entries {
+		if entry.Service != service || entry.Leaving {
+			continue
+		}
+		adapters, holds := d.holds(entry, model)
+		if model != "" && (!holds || d.isAbsent(id, model, "", now)) {
+			continue
+		}
+		candidate := Candidate{
+			Upstream: entry, Load: local[id] + d.others[id],
+			Adapter: adapter == "" || (slices.Contains(adapters, adapter) && !d.isAbsent(id, model, adapter, now)),
+		}
+		if h := d.health[id]; h != nil {
+			candidate.Avoid, candidate.Failures = now.Before(h.avoidUntil), h.failures
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// holds returns the adapters that an engine has for a model: as the
+// coordinator knows it, else as the entry says, which lags behind orders.
+func (d *Directory) holds(entry *catalog.Upstream, model string) ([]string, bool) {
+	view, ok := d.engines[entry.ID]
+	if ok && view.Born == entry.Born {
+		adapters, holds := view.Ready[model]
+		return adapters, holds
+	}
+	adapters, holds := entry.Holdings.Models[model]
+	return adapters, holds
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -38,7 +38,7 @@
 
 // dispatcher sends one request until it is answered or given up.
 type dispatcher struct {
-	*exchange
+	*inbound
 	ctx   context.Context
 	model coordinator.ModelKey
 	tried map[string]bool // upstreams that failed for this request
@@ -49,14 +49,14 @@
 }
 
 // dispatch sends the request on. It returns a refusal if nothing was answered.
-func (e *exchange) dispatch() *refusal {
+func (e *inbound) dispatch() *refusal {
 	ctx, cancel := context.WithDeadline(e.http.Context(), e.deadline)
 	defer cancel()
 	d := &dispatcher{
-		exchange: e, ctx: ctx, tried: map[string]bool{},
+		inbound: e, ctx: ctx, tried: map[string]bool{},
 		model: coordinator.ModelKey{Service: e.service.Name, Model: e.request.Model},
 	}
-	d.relay.exchange = e
+	d.relay.inbound = e
 	e.gateway.exchanger.budget.NoteRequest(e.begun, e.service.Name)
 	if d.isEngine() {
 		e.gateway.exchanger.waiting.arrived(d.model)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -38,8 +38,8 @@
 	retryAfter time.Duration // 0: none
 }
 
-// exchange is one caller's request on its way through this host.
-type exchange struct {
+// inbound is one caller's request on its way through this host.
+type inbound struct {
 	gateway   *Gateway
 	writer    http.ResponseWriter
 	http      *http.Request
@@ -60,7 +60,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	e := &exchange{gateway: g, writer: w, http: r, begun: time.Now(), record: record{status: statusCallerGone}}
+	e := &inbound{gateway: g, writer: w, http: r, begun: time.Now(), record: record{status: statusCallerGone}}
 	defer e.finish()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -78,7 +78,7 @@
 	}
 }
 
-func (e *exchange) parse() *refusal {
+func (e *inbound) parse() *refusal {
 	request, err := e.gateway.dialect.Parse(e.http)
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
@@ -88,7 +88,7 @@
 }
 
 // match finds the route in the configuration in force.
-func (e *exchange) match() *refusal {
+func (e *inbound) match() *refusal {
 	e.config = e.gateway.config.current.Load()
 	if e.config == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: staleRetry}
@@ -107,7 +107,7 @@
 
 // unlessStale replaces a verdict of the configuration by "not run" where a
 // newer configuration may say otherwise.
-func (e *exchange) unlessStale(verdict *refusal) *refusal {
+func (e *inbound) unlessStale(verdict *refusal) *refusal {
 	if e.gateway.config.age() < staleConfig {
 		return verdict
 	}
@@ -115,7 +115,7 @@
 }
 
 // authenticate finds the workspace of the key.
-func (e *exchange) authenticate() *refusal {
+func (e *inbound) authenticate() *refusal {
 	if !e.config.KeysRequired() || e.route.Open {
 		return nil
 	}
@@ -129,7 +129,7 @@
 	return nil
 }
 
-func (e *exchange) readBody() *refusal {
+func (e *inbound) readBody() *refusal {
 	limit := e.config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -147,7 +147,7 @@
 }
 
 // charge takes the request's cost from the workspace's allowance.
-func (e *exchange) charge() *refusal {
+func (e *inbound) charge() *refusal {
 	if e.workspace == nil || !e.workspace.Limited() {
 		return nil
 	}
@@ -188,7 +188,7 @@
 	return w.PlainCost
 }
 
-func (e *exchange) refund() {
+func (e *inbound) refund() {
 	if e.charged {
 		e.gateway.exchanger.bank.Refund(clock.SinceBoot(), e.workspace, e.cost)
 		e.charged = false
@@ -196,7 +196,7 @@
 }
 
 // refuse answers with a failure of the system's own.
-func (e *exchange) refuse(r *refusal) {
+func (e *inbound) refuse(r *refusal) {
 	e.record.status, e.record.reason = r.status, r.reason
 	if e.http.Context().Err() != nil {
 		e.record.status = statusCallerGone
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -26,7 +26,7 @@
 }
 
 // finish writes the request's line in the log and counts it.
-func (e *exchange) finish() {
+func (e *inbound) finish() {
 	g := e.gateway
 	took := time.Since(e.begun)
 	fields := []any{"status", e.record.status, "reason", e.record.reason, "sends", e.record.sends, "upstream", e.record.upstream,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,7 +26,7 @@
 // relay passes the answer of one or, for a resumed stream, several upstreams
 // to the caller.
 type relay struct {
-	exchange    *exchange
+	inbound     *inbound
 	begun       bool // the caller has received a part
 	lastEventID string
 }
