Stop requests that crash their workers; confirm keys well within short bounds

Cause: the gateway did not hold a request responsible that ends each worker that runs it. TestAdapterIsLoaded failed once as its hosts were not ready in 5 s; ports were chosen where others could take them, which is not shown to be the cause. Change: lost runs are added up over the hosts, an answer clears them; the pace follows the bound; each test rig has a loopback address of its own and reports hosts that end.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,7 @@
 	demand      *demandBook
 	fleet       map[string]*engineState // by upstream ID
 	views       viewBook
+	lostRuns    lostRunBook
 	storeStarts []time.Duration
 	estimates   []Estimate
 	actions     sync.WaitGroup
@@ -88,6 +89,7 @@
 	c.demand = newDemandBook()
 	c.fleet = map[string]*engineState{}
 	c.views = newViewBook()
+	c.lostRuns = lostRunBook{}
 	c.estimates = nil
 }
 
@@ -109,6 +111,7 @@
 	defer c.mu.Unlock()
 	c.ledger.Hear(now, request.Host)
 	c.demand.note(now, request)
+	c.lostRuns.note(now, request.Lost)
 	for _, id := range request.Doubts {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextAsk {
 			engine.doubted = true
@@ -123,6 +126,7 @@
 	}
 	reply.View = c.views.since(c.fleet, request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
+	reply.Quarantined = c.lostRuns.refused()
 	reply.Running = c.demand.others(request.Host)
 	return reply
 }
@@ -179,6 +183,7 @@
 	defer c.mu.Unlock()
 	c.ledger.Forget(now)
 	c.demand.forget(now)
+	c.lostRuns.forget(now)
 	c.observe(now, upstreams, config)
 	c.noteUnreachable()
 	c.ask(ctx, now)
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -34,6 +34,17 @@
 	Count    int    `json:"count"`
 }
 
+// Answered as a count says that the request was answered, so that its lost runs
+// prove nothing.
+const Answered = -1
+
+// LostRuns counts the runs of a request that ended with the connection to the
+// upstream.
+type LostRuns struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	Count       int    `json:"count"`
+}
+
 // ExchangeRequest is what a host tells the coordinator.
 type ExchangeRequest struct {
 	Host        string                    `json:"host"`
@@ -46,7 +57,8 @@
 	// Unreachable are upstreams that refused or did not take connections.
 	Unreachable []string `json:"unreachable,omitempty"`
 	// Doubts are engines that said that they lack what the view says.
-	Doubts []string `json:"doubts,omitempty"`
+	Doubts []string   `json:"doubts,omitempty"`
+	Lost   []LostRuns `json:"lost,omitempty"` // since the last exchange
 	// Tables are the revisions of the host's replicas.
 	Tables map[string]int64 `json:"tables,omitempty"`
 }
@@ -87,6 +99,8 @@
 	View       *View                      `json:"view,omitempty"` // nil: unchanged
 	Grants     map[string]allowance.Grant `json:"grants,omitempty"`
 	Estimates  []Estimate                 `json:"estimates,omitempty"`
+	// Quarantined are the fingerprints of requests that crash upstreams.
+	Quarantined []uint64 `json:"quarantined,omitempty"`
 	// Tables are what the host's replicas lack.
 	Tables map[string]table.Update `json:"tables,omitempty"`
 	// Running counts the requests of all other hosts at each upstream.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,7 +56,6 @@
 		inbound: e, ctx: ctx, tried: map[string]bool{},
 		model: coordinator.ModelKey{Service: e.service.Name, Model: e.request.Model},
 	}
-	d.relay.inbound = e
 	e.gateway.exchanger.budget.NoteRequest(e.begun, e.service.Name)
 	if d.isEngine() {
 		e.gateway.exchanger.waiting.arrived(d.model)
@@ -303,6 +302,9 @@
 // afterLoss decides after a run whose answer is lost or broken.
 func (d *dispatcher) afterLoss(id, reason string, outcome Outcome) (bool, *refusal) {
 	d.gateway.directory.Report(id, outcome)
+	if outcome == OutcomeBroken {
+		d.gateway.exchanger.crashes.note(time.Now(), d.fingerprint())
+	}
 	d.tried[id] = true
 	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil {
 		return true, nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,9 @@
 	// relayAge is the age of a relayed table from which this host asks the
 	// table service itself.
 	relayAge = 1600 * time.Millisecond
+	// relayParts is the part of the bound for keys beyond which a relayed
+	// confirmation is too old: one in so many.
+	relayParts = 3
 	// adapterTimeout bounds the call for an adapter.
 	adapterTimeout = 900 * time.Millisecond
 )
@@ -51,6 +54,7 @@
 	waiting     *waitingBook
 	bank        *allowance.Bank
 	budget      *Budget
+	crashes     *crashBook
 
 	replicas map[string]*table.Replica // by table
 	wake     chan struct{}
@@ -135,6 +139,7 @@
 	e.acceptTables(reply, asked, now)
 	e.waiting.hear(time.Now(), reply.Estimates)
 	e.directory.ApplyExchange(reply)
+	e.crashes.apply(reply.Quarantined)
 	e.bank.Apply(now, reply.Grants)
 	return nil
 }
@@ -145,9 +150,10 @@
 		return
 	}
 	confirmed := true
+	oldest := min(relayAge, e.settings.partOfBound(relayParts))
 	for name, replica := range e.replicas {
 		update, ok := reply.Tables[name]
-		fresh := time.Duration(update.AgeMS)*time.Millisecond < relayAge
+		fresh := time.Duration(update.AgeMS)*time.Millisecond < oldest
 		confirmed = ok && replica.Accept(update, asked) && fresh && confirmed
 	}
 	if confirmed {
@@ -160,7 +166,7 @@
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
 		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
-		Unreachable: e.directory.Unreachable(), Doubts: e.directory.Doubts(), Tables: map[string]int64{},
+		Unreachable: e.directory.Unreachable(), Doubts: e.directory.Doubts(), Lost: e.crashes.report(time.Now()), Tables: map[string]int64{},
 	}
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,9 @@
 	staleConfig = 1500 * time.Millisecond
 	// configWait is the longest time that a watch of the configuration waits.
 	configWait = 600 * time.Millisecond
+	// confirmParts is the number of confirmations of the configuration that are
+	// to come within the bound for keys.
+	confirmParts = 4
 	// hostConfigWait and hostUpstreamPause apply to hosts that only follow for
 	// themselves, until a coordinator relays again.
 	hostConfigWait    = 1100 * time.Millisecond
@@ -127,6 +130,7 @@
 	g.exchanger = &exchanger{
 		settings: &g.settings, log: options.Log, keeper: g.keeper, coordinator: g.coordinator, config: g.config.current.Load,
 		directory: g.directory, waiting: newWaitingBook(), bank: allowance.NewBank(), budget: NewBudget(s.retryTerms()),
+		crashes:  newCrashBook(),
 		wake:     make(chan struct{}, 1),
 		replicas: map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.directory.Replica},
 	}
@@ -231,7 +235,10 @@
 func (g *Gateway) startWork(ctx context.Context, group *conc.WaitGroup, l listeners) {
 	configs := &table.Follower{
 		Reader: g.options.Reader, Table: g.options.ConfigTable, Replica: &g.config.replica, Log: g.log,
-		Pace:   func() (wait, pause time.Duration) { return g.pace(configWait, 0, hostConfigWait, 0) },
+		Pace: func() (wait, pause time.Duration) {
+			most := g.settings.partOfBound(confirmParts)
+			return g.pace(min(configWait, most), 0, min(hostConfigWait, most), 0)
+		},
 		Needed: func() bool { return !g.exchanger.Relayed() },
 	}
 	upstreams := &table.Follower{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -65,7 +65,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	steps := []func() *refusal{e.parse, e.match, e.authenticate, e.readBody, e.charge}
+	steps := []func() *refusal{e.parse, e.match, e.authenticate, e.readBody, e.checkCrashes, e.charge}
 	for _, step := range steps {
 		if refused := step(); refused != nil {
 			e.refuse(refused)
@@ -146,6 +146,14 @@
 	return nil
 }
 
+// checkCrashes refuses a request that has crashed upstreams again and again.
+func (e *inbound) checkCrashes() *refusal {
+	if !e.gateway.exchanger.crashes.quarantined(e.begun, e.fingerprint()) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "request crashes upstreams", retryAfter: quarantineRetry}
+}
+
 // charge takes the request's cost from the workspace's allowance.
 func (e *inbound) charge() *refusal {
 	if e.workspace == nil || !e.workspace.Limited() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,7 +26,6 @@
 // relay passes the answer of one or, for a resumed stream, several upstreams
 // to the caller.
 type relay struct {
-	inbound     *inbound
 	begun       bool // the caller has received a part
 	lastEventID string
 }
@@ -56,7 +55,7 @@
 			return true, nil
 		}
 	} else {
-		d.gateway.directory.Report(id, OutcomeServed)
+		d.served(id)
 	}
 	d.writeHead(answer)
 	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -66,6 +65,12 @@
 	return false, nil
 }
 
+// served notes a whole answer.
+func (d *dispatcher) served(id string) {
+	d.gateway.directory.Report(id, OutcomeServed)
+	d.gateway.exchanger.crashes.clear(d.fingerprint)
+}
+
 // FailedAnswerError reports an upstream's own failure.
 type FailedAnswerError struct{ Status int }
 
@@ -124,7 +129,7 @@
 			rest = append(rest[:0], rest[whole:]...)
 		}
 		if errors.Is(err, io.EOF) && len(rest) == 0 {
-			d.gateway.directory.Report(id, OutcomeServed)
+			d.served(id)
 			return false, nil
 		}
 		if err != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -146,6 +146,15 @@
 // KeyConfirmation returns how long keys may be accepted after a confirmation.
 func (s *Settings) KeyConfirmation() time.Duration { return seconds(s.KeyConfirmationMS / 1000) }
 
+// partOfBound returns a part of the bound for keys, one in so many; without a
+// bound it is not limited.
+func (s *Settings) partOfBound(parts int) time.Duration {
+	if s.KeyConfirmationMS == 0 {
+		return time.Hour
+	}
+	return s.KeyConfirmation() / time.Duration(parts)
+}
+
 // Handover returns the time between the orders of two coordinators.
 func (s *Settings) Handover() time.Duration { return seconds(s.HandoverMS / 1000) }
 
--- a/tests/gateway/failure_test.go
+++ b/tests/gateway/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -178,3 +179,34 @@
 		t.Errorf("status %d, broken %v", got.status, got.broken)
 	}
 }
+
+// A request that ends each connection is stopped after three runs, at whichever
+// host it comes; others go on.
+func TestRequestThatCrashesWorkersIsStopped(t *testing.T) {
+	r := newRig(t, 3)
+	for _, w := range r.ledgers {
+		w.SetFaults(platformtest.WorkerFaults{LoseAnswers: true})
+	}
+	for i := range 12 {
+		r.call(i%3, http.MethodPost, "/withdraw/crash", fmt.Sprintf("crash-%d", i), "the same body")
+		time.Sleep(150 * time.Millisecond)
+	}
+	runs := 0
+	for _, w := range r.ledgers {
+		for _, seen := range w.Seen() {
+			if strings.HasPrefix(seen.ID, "crash-") {
+				runs++
+			}
+		}
+		w.SetFaults(platformtest.WorkerFaults{})
+	}
+	if runs < 3 || runs > 6 {
+		t.Errorf("%d of 12 runs, want three and those on their way", runs)
+	}
+	if got := r.call(0, http.MethodPost, "/withdraw/crash", "still", "the same body"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("the request again: %d", got.status)
+	}
+	r.await("another request is served", func() bool {
+		return r.call(0, http.MethodPost, "/withdraw/other", "other", "another body").status == 200
+	})
+}
--- a/tests/gateway/rig_test.go
+++ b/tests/gateway/rig_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	engine  *platformtest.Worker
 	ledgers []*platformtest.Worker
 	version int
+	// loopback is this rig's own address.
+	loopback string
 }
 
 type runningHost struct {
@@ -52,9 +55,22 @@
 	return funcr.New(func(prefix, args string) { fmt.Fprintln(os.Stderr, prefix, args) }, funcr.Options{})
 }
 
-func freeAddress(t *testing.T) string {
+// rigs numbers the rigs of this process.
+var rigs atomic.Int32
+
+// loopbackOf returns a loopback address that no other rig uses. Outgoing
+// connections leave from 127.0.0.1, so none of them takes a port there between
+// its choice and its use.
+func loopbackOf(rig int32) string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(128+rig%100), byte(pid>>8), byte(max(1, pid&255))).String()
+}
+
+// freeAddress returns an address that is free at the rig's loopback address.
+func (r *rig) freeAddress() string {
+	t := r.t
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", r.loopback+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +83,7 @@
 func newRig(t *testing.T, hosts int) *rig {
 	t.Helper()
 	t.Parallel()
-	r := &rig{t: t, store: platformtest.NewStore()}
+	r := &rig{t: t, store: platformtest.NewStore(), loopback: loopbackOf(rigs.Add(1))}
 	t.Cleanup(r.store.Close)
 	r.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	r.ledgers = []*platformtest.Worker{
@@ -125,7 +141,7 @@
 	r.t.Helper()
 	s := gateway.DefaultSettings()
 	s.Host, s.DataCenter = name, "z1"
-	s.Listen, s.ReadyListen, s.PeerListen = freeAddress(r.t), freeAddress(r.t), freeAddress(r.t)
+	s.Listen, s.ReadyListen, s.PeerListen = r.freeAddress(), r.freeAddress(), r.freeAddress()
 	s.Platform = r.store.Address()
 	s.ShutdownTimeoutS = 4
 	s.KeyConfirmationMS = float64(keyBound.Milliseconds())
@@ -138,7 +154,13 @@
 		DecodeConfig: platform.ConfigIn, DecodeUpstream: platform.Upstream,
 		Dialect: platform.Dialect{}, Engines: platform.NewWorkers(), ReadyPath: platform.ReadyPath,
 	})
-	go func() { h.done <- h.Run(ctx) }()
+	go func() {
+		err := h.Run(ctx)
+		if err != nil {
+			r.t.Errorf("host %s ended: %v", name, err)
+		}
+		h.done <- err
+	}()
 	r.hosts = append(r.hosts, h)
 	r.t.Cleanup(func() {
 		for _, other := range r.hosts {
