--- a/tests/gateway/failure_test.go
+++ b/tests/gateway/failure_test.go
@@ -175,8 +175,8 @@
 	r.await("in progress", func() bool { return r.hosts[0].State().InFlight == 1 })
 	r.hosts[0].stop()
 	got := <-result
-	if got.broken || got.status != http.StatusServiceUnavailable {
-		t.Errorf("status %d, broken %v", got.status, got.broken)
+	if got.broken || got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "shutting down") {
+		t.Errorf("status %d, broken %v, body %q", got.status, got.broken, got.body)
 	}
 }
 
