Shorten the pause of orders between two coordinators

Holders take turns when one of them comes back; a first change of holder needs only that late orders have arrived. An order waited for the one before it after the lease was checked, so it could go out after the lease's end (found by reading). An order without an answer cost 700 ms.

Change: the next holder waits for the time that an order may take to arrive (600 ms and slack), a holder that is among the last two before waits for the platform's time between holders. The lease is checked right before each order. An unanswered order is given again at once with the same count: the engine takes one of them.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -11,8 +11,9 @@
 	// orderArrival is the time that an order may take to arrive. The lease
 	// must be valid for so long when an order is sent.
 	orderArrival = 150 * time.Millisecond
-	// orderTimeout bounds an order; engines answer within a few milliseconds.
-	orderTimeout = 600 * time.Millisecond
+	// OrderTimeout bounds an order; engines answer within a few milliseconds.
+	// The connection is reset then, so that the order does not arrive later.
+	OrderTimeout = 600 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 400 * time.Millisecond
 	// reportLag is how old the content of a report may be.
@@ -28,6 +29,8 @@
 	busyPause = 60 * time.Millisecond
 	// triesPerReport is the number of conflicts after which the report is read.
 	triesPerReport = 4
+	// unansweredTries bounds the times that one order is given without an answer.
+	unansweredTries = 4
 	// unloadWait bounds the wait for an unload, which waits for runs to end.
 	unloadWait = 6 * time.Second
 )
@@ -108,22 +111,30 @@
 }
 
 // giveWhenFree gives an order, again and again while the engine is still busy
-// with the one before.
+// with the one before or does not answer. The engine takes only one of several
+// orders with the same count, so that an unanswered one is given again at once.
 func (c *Coordinator) giveWhenFree(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
 	begun := clock.SinceBoot()
 	surprises := c.surprises(engine)
+	unanswered := 0
 	for tries := 1; ; tries++ {
 		result, ok := c.give(ctx, engine, order)
 		if result == OrderConflict && tries%triesPerReport == 0 {
 			c.refresh(ctx, engine) // it may be busy with an order whose answer was lost
 		}
+		if result == OrderUnknown {
+			unanswered++
+		}
 		if c.surprises(engine) != surprises {
 			return result, ok // the decision is void, unless the order was accepted before
 		}
-		if ok || result != OrderConflict || clock.SinceBoot()-begun > unloadWait || ctx.Err() != nil {
+		again := result == OrderConflict || (result == OrderUnknown && unanswered < unansweredTries)
+		if ok || !again || clock.SinceBoot()-begun > unloadWait || ctx.Err() != nil {
 			return result, ok
 		}
-		pause(ctx, busyPause)
+		if result == OrderConflict {
+			pause(ctx, busyPause)
+		}
 	}
 }
 
@@ -136,12 +147,12 @@
 // give sends an order with the engine's order count, so that an earlier one
 // whose answer was lost can't be carried out after it.
 func (c *Coordinator) give(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+	engine.orders.Lock() // each order relies on the count after the one before
+	defer engine.orders.Unlock()
 	fence, ok := c.lease.MayOrder(orderArrival)
 	if !ok {
 		return OrderRejected, false
 	}
-	engine.orders.Lock() // each order relies on the count after the one before
-	defer engine.orders.Unlock()
 	c.mu.Lock()
 	if c.fleet[engine.upstream.ID] != engine {
 		c.mu.Unlock()
@@ -150,7 +161,7 @@
 	upstream := engine.upstream
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
 	result, err := c.engines.Order(ctx, upstream, order)
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 	g.keeper = &lease.Keeper{
 		Started: clock.SinceBoot(), Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
 		Terms: lease.Terms{
-			Duration: leaseDuration, Handover: s.Handover(), Slack: leaseSlack,
+			Duration: leaseDuration, Arrival: coordinator.OrderTimeout, Handover: s.Handover(), Slack: leaseSlack,
 		},
 	}
 	if s.ProcessorShare > 0 && s.ProcessorShare < coordinatorShare {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -135,7 +135,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closing {
-		return k.Terms.Handover // the next holder waits so long
+		return k.Terms.Arrival // the next holder waits so long
 	}
 	return max(0, k.ordersFrom-now)
 }
@@ -257,7 +257,10 @@
 
 func (k *Keeper) claim(ctx context.Context, last Observation) {
 	asked := clock.SinceBoot()
-	record := Record{Holder: k.Host, Address: k.Address, Epoch: last.Record.Epoch + 1, Renewal: rand.Int64(), Hosts: last.Record.Hosts}
+	record := Record{
+		Holder: k.Host, Address: k.Address, Epoch: last.Record.Epoch + 1, Renewal: rand.Int64(),
+		Former: formerAfter(last.Record, k.Host), Hosts: last.Record.Hosts,
+	}
 	revision, err := k.write(ctx, last.Revision, record)
 	if err != nil {
 		k.Log.Info("Lease not taken.", "epoch", record.Epoch, "last_holder", last.Record.Holder, "error", err.Error())
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	Renewal int64 `json:"renewal"`
 	// Active says that the holder's time to wait for the last holder is over.
 	Active bool `json:"active,omitempty"`
+	// Former are the last holders before Holder, the latest first.
+	Former []string `json:"former,omitempty"`
 	// Released says that the holder orders no more.
 	Released bool `json:"released,omitempty"`
 	// Hosts are the hosts that the holder has given rights to.
@@ -49,8 +52,11 @@
 type Terms struct {
 	// Duration is how long a renewal is valid, from the start of its call.
 	Duration time.Duration
-	// Handover is the time between the last order of a holder and the first
-	// one of the next, on another machine.
+	// Arrival is the longest time that an order may take to arrive. The next
+	// holder orders so long after the last one.
+	Arrival time.Duration
+	// Handover replaces Arrival for a holder that comes back after another one,
+	// so that two hosts do not order by turns within it.
 	Handover time.Duration
 	// Slack covers clocks that run at different speeds and orders on their way.
 	Slack time.Duration
@@ -96,15 +102,33 @@
 }
 
 // OrdersFrom returns when a host that has just taken the lease may order. The
-// last holder's orders have ended by then: it may have renewed right before it
+// last holder's orders have arrived by then: it may have renewed right before it
 // was last seen, and stops when that renewal ends.
 func (t Terms) OrdersFrom(last Observation, host string, now time.Duration) time.Duration {
+	wait := t.Arrival
+	if slices.Contains(last.Record.Former, host) {
+		wait = max(wait, t.Handover)
+	}
 	switch {
 	case last.Revision == 0, last.Record.Holder == host && last.Record.Active:
 		return now
 	case last.Record.Released:
-		return last.Since + t.Handover + t.Slack
+		return last.Since + wait + t.Slack
 	default:
-		return t.ends(last) + t.Handover + t.Slack
+		return t.ends(last) + wait + t.Slack
+	}
+}
+
+// keptFormer is the number of former holders that the row names.
+const keptFormer = 2
+
+// formerAfter returns the former holders for a host that takes the lease.
+func formerAfter(last Record, host string) []string {
+	var former []string
+	for _, name := range append([]string{last.Holder}, last.Former...) {
+		if name != "" && name != host && len(former) < keptFormer {
+			former = append(former, name)
+		}
 	}
+	return former
 }
