Let one replica carry more of a busy model, to leave room for rare ones

Cause: a busy model had one replica for each 2.5 requests a second, so that five of twelve engines held the busiest one while requests for rare models found no engine free to load them. Reading a prompt takes 57 ms of an engine, so it carries more.

Change: 4 requests a second and 16 concurrent requests a replica, at most 0.6 of the engine's batch.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -12,9 +12,11 @@
 const (
 	// replicaRate is the rate of a model, in requests per second, that one
 	// replica is to carry: reading prompts holds up the streams beside it.
-	replicaRate = 2.5
-	// replicaLoad is the number of concurrent requests that one replica is to carry.
-	replicaLoad = 10
+	replicaRate = 4.0
+	// replicaLoad is the number of concurrent requests that one replica is to
+	// carry; replicaSlots bounds it as a part of the engine's batch.
+	replicaLoad  = 16.0
+	replicaSlots = 0.6
 	// unservedValue and waitingValue weigh requests that no replica serves in
 	// time, in requests per second and in number.
 	unservedValue = 10.0
@@ -163,7 +165,8 @@
 	if coming > 0 {
 		return need{}, false
 	}
-	unserved := max(0, demand.Rate-replicaRate*float64(ready), float64(demand.Running-replicaLoad*ready)/replicaLoad)
+	load := p.replicaLoad()
+	unserved := max(0, demand.Rate-replicaRate*float64(ready), float64(demand.Running)/load-float64(ready))
 	value := unservedValue*unserved + waitingValue*float64(demand.Waiting)
 	switch {
 	case ready == 0 && demand.Waiting > 0:
@@ -180,6 +183,14 @@
 	return need{}, false
 }
 
+// replicaLoad returns the number of concurrent requests that one replica is to carry.
+func (p *planner) replicaLoad() float64 {
+	if slots := p.Service.Engine.BatchSlots; slots > 0 {
+		return min(replicaLoad, replicaSlots*float64(slots))
+	}
+	return replicaLoad
+}
+
 func (p *planner) source(engine *Engine, model string) Source {
 	switch {
 	case slices.Contains(engine.Holdings.InMemory, model):
--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -197,3 +197,24 @@
 		}
 	}
 }
+
+// A busy model took so many engines that requests for rare models found no room
+// (tokachi-seedvault, all days with trouble).
+func TestBusyModelLeavesRoomForRareOnes(t *testing.T) {
+	service := testService(8)
+	service.Engine.BatchSlots = 64
+	var engines []*Engine
+	for i := range 3 {
+		engines = append(engines, testEngine(fmt.Sprintf("e%d", i), "m0"))
+	}
+	engines = append(engines, testEngine("e3", "m1"))
+	state := testState(service, engines...)
+	state.Demand["m0"] = &Demand{Rate: 11.5, Running: 30}
+	if actions := Plan(state); slices.ContainsFunc(actions, func(a Action) bool { return a.Load == "m0" }) {
+		t.Errorf("a fourth replica for 11.5 requests a second: %+v", actions)
+	}
+	state.Demand["m0"].Running = 60 // long prompts
+	if actions := Plan(state); !slices.ContainsFunc(actions, func(a Action) bool { return a.Load == "m0" }) {
+		t.Error("no further replica for 60 concurrent requests")
+	}
+}
