--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,19 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time or until the context ends. It reports whether the time
+// has passed.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/configstore/exchange.go
+++ b/internal/configstore/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 )
 
@@ -57,7 +58,7 @@
 // from its settings.
 func (f *Follower) Start(ctx context.Context, peers func() []string) error {
 	for f.TryStart(ctx, peers()) != nil {
-		if !pause(ctx, startPause) {
+		if !clock.Sleep(ctx, startPause) {
 			return eris.Wrap(&NoConfigurationError{}, "start")
 		}
 	}
--- a/internal/configstore/submit.go
+++ b/internal/configstore/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
@@ -254,7 +255,7 @@
 		if !uncertain {
 			return Version{}, eris.Wrap(err, "submit")
 		}
-		if attempt == commitAttempts || !pause(ctx, commitPause) {
+		if attempt == commitAttempts || !clock.Sleep(ctx, commitPause) {
 			return s.readBack(ctx, submission, err)
 		}
 		s.metrics.submissions.WithLabelValues("repeated").Inc()
@@ -303,18 +304,6 @@
 	return eris.Wrap(&UnknownOutcomeError{Cause: err}, "submit")
 }
 
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // accepted keeps the new version and writes its snapshot when it is due.
 func (s *Store) accepted(ctx context.Context, version Version, next *config.Snapshot) {
 	if next.Version != version.Number || next.Hash != version.Hash {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -89,14 +89,14 @@
 	}
 	limit := takes*overtime + time.Second
 	begun := clock.SinceBoot()
-	pause(ctx, takes)
+	clock.Sleep(ctx, takes)
 	for ctx.Err() == nil && clock.SinceBoot()-begun < limit {
 		if c.refresh(ctx, engine) && c.done(engine, order) {
 			c.log.Info("Order carried out.", "upstream", engine.upstream.ID, "model", order.Model, "unload", order.Unload,
 				"took_ms", (clock.SinceBoot() - begun).Milliseconds())
 			return true
 		}
-		pause(ctx, pollEvery)
+		clock.Sleep(ctx, pollEvery)
 	}
 	c.log.Info("Order overdue.", "upstream", engine.upstream.ID, "model", order.Model, "unload", order.Unload,
 		"after_ms", (clock.SinceBoot() - begun).Milliseconds())
@@ -133,7 +133,7 @@
 			return result, ok
 		}
 		if result == OrderConflict {
-			pause(ctx, busyPause)
+			clock.Sleep(ctx, busyPause)
 		}
 	}
 }
@@ -239,12 +239,3 @@
 	}
 	return err.Error()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
@@ -100,7 +101,7 @@
 	candidates := d.gateway.directory.Candidates(d.service.Name, "", "")
 	candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
 	if candidate == nil && len(candidates) > 0 && d.runs == 0 {
-		sleep(d.ctx, notRunPause)
+		clock.Sleep(d.ctx, notRunPause)
 		clear(d.tried)
 		candidate = choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
 	}
@@ -119,7 +120,7 @@
 		candidate := choose(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
 		switch {
 		case candidate == nil && len(candidates) > 0 && d.runs == 0:
-			sleep(d.ctx, notRunPause)
+			clock.Sleep(d.ctx, notRunPause)
 			clear(d.tried)
 		case candidate == nil || candidate.Avoid:
 			// Nothing that works: another replica may become ready.
@@ -156,7 +157,7 @@
 	if d.ctx.Err() != nil || (*asked >= adapterTries && (err != nil || reply.RetryInMS == 0)) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded: " + reason, retryAfter: shortRetry}
 	}
-	sleep(d.ctx, adapterPause)
+	clock.Sleep(d.ctx, adapterPause)
 	return nil
 }
 
--- a/internal/host/messages.go
+++ b/internal/host/messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/configstore"
 	"github.com/arbutusbank/arbutusbank/internal/loading"
 	"github.com/arbutusbank/arbutusbank/internal/peer"
@@ -227,7 +228,7 @@
 	if m.GetWaiting() == 0 {
 		return &peerpb.DemandReply{}, nil
 	}
-	for end := time.Now().Add(decisionWait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, decisionPoll) {
+	for end := time.Now().Add(decisionWait); time.Now().Before(end) && ctx.Err() == nil; clock.Sleep(ctx, decisionPoll) {
 		if len(h.loading.Replicas(weights.Model, weights.Adapter)) > 0 {
 			break
 		}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
 )
@@ -161,7 +162,7 @@
 			return
 		}
 		h.log.V(1).Info("No configuration found yet.", "error", err.Error())
-		sleep(ctx, startRetryInterval)
+		clock.Sleep(ctx, startRetryInterval)
 	}
 }
 
@@ -177,7 +178,7 @@
 			h.log.V(1).Info("Host list not read.", "error", err.Error())
 			h.learnUpstreams(ctx)
 		}
-		sleep(ctx, hostListInterval)
+		clock.Sleep(ctx, hostListInterval)
 	}
 }
 
@@ -311,12 +312,3 @@
 
 // Ready reports whether the host serves callers.
 func (h *Host) Ready() bool { return h.ready.Load() }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/idempotency/held.go
+++ b/internal/idempotency/held.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
 )
 
@@ -100,7 +101,7 @@
 	backoff := firstBackoff
 	for try := 1; ; try++ {
 		err := h.store.objects.Put(ctx, name, body)
-		if err == nil || try == maxTries || !sleep(ctx, backoff) {
+		if err == nil || try == maxTries || !clock.Sleep(ctx, backoff) {
 			return err
 		}
 		backoff *= 2
@@ -144,7 +145,7 @@
 				return checkErr
 			}
 		}
-		if try == maxTries || !sleep(ctx, backoff) {
+		if try == maxTries || !clock.Sleep(ctx, backoff) {
 			return &StorageError{Operation: operation, Cause: err}
 		}
 		backoff *= 2
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -135,7 +135,7 @@
 				err = readErr
 			}
 		}
-		if try == maxTries || !sleep(ctx, backoff) {
+		if try == maxTries || !clock.Sleep(ctx, backoff) {
 			s.abandon(ctx, held, unknown)
 			return Result{}, &UnavailableError{Cause: err}
 		}
@@ -234,15 +234,3 @@
 	var unknown *platform.UnknownOutcomeError
 	return errors.As(err, &unknown)
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/idempotency/sweep.go
+++ b/internal/idempotency/sweep.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
 )
 
@@ -54,7 +55,7 @@
 	backoff := 1
 	// The random part keeps hosts that started together apart.
 	pause := sweepInterval/2 + rand.N(sweepInterval)
-	for sleep(ctx, pause) {
+	for clock.Sleep(ctx, pause) {
 		report, err := s.Sweep(ctx)
 		if err != nil {
 			s.log.V(1).Info("sweep ended early", "error", err.Error())
--- a/internal/inference/place.go
+++ b/internal/inference/place.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 	"github.com/arbutusbank/arbutusbank/internal/routing"
@@ -34,7 +35,7 @@
 		if len(permitted) == len(candidates) && !ok {
 			return nil, "", nil
 		}
-		if !pause(ctx, suspectPause) {
+		if !clock.Sleep(ctx, suspectPause) {
 			return nil, "", x.ended(ctx)
 		}
 	}
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -185,7 +185,7 @@
 			return refusal
 		}
 		x.trying = true
-		if !pause(ctx, replicaPause) {
+		if !clock.Sleep(ctx, replicaPause) {
 			return x.ended(ctx)
 		}
 	}
@@ -243,7 +243,7 @@
 		}
 		if x.announceSuspect(ctx, run); run.Contested(x.options.Clock.Now()) {
 			run.Ended()
-			pause(ctx, suspectPause+rand.N(suspectPause)) // an ended context shows in the next round
+			clock.Sleep(ctx, suspectPause+rand.N(suspectPause)) // an ended context shows in the next round
 			continue
 		}
 		err := x.callEngine(ctx, address)
@@ -286,7 +286,7 @@
 		budget.Take()
 	}
 	if class == retry.ConnectionLost {
-		pause(ctx, crashPause) // an ended context shows in the next attempt
+		clock.Sleep(ctx, crashPause) // an ended context shows in the next attempt
 	}
 	return nil, false
 }
@@ -296,7 +296,7 @@
 func (x *execution) announceSuspect(ctx context.Context, run *retry.Run) {
 	if run.Isolated() {
 		x.options.Upstreams.SuspectStarts()
-		pause(ctx, crashPause) // an ended context shows in the call
+		clock.Sleep(ctx, crashPause) // an ended context shows in the call
 	}
 }
 
@@ -320,17 +320,5 @@
 	return refusal
 }
 
-// pause waits and reports whether the context still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // rootMessage returns an error's text on one line.
 func rootMessage(err error) string { return strings.ReplaceAll(err.Error(), "\n", " ") }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -154,7 +154,7 @@
 		switch {
 		case k.renews():
 			k.renew(ctx)
-			pause(ctx, renewEvery)
+			clock.Sleep(ctx, renewEvery)
 		default:
 			hurried := k.pauseOrHurry(ctx, lookEvery+k.Reluctance+rand.N(lookSpread))
 			if hurried || !k.Reached() {
@@ -188,7 +188,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-hurry:
-		pause(ctx, rand.N(hurrySpread))
+		clock.Sleep(ctx, rand.N(hurrySpread))
 		return true
 	}
 	return false
@@ -232,7 +232,7 @@
 		k.freeSince = now
 	}
 	if wait := k.reluctance(last.Record, now); wait > 0 && now-k.freeSince < wait {
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 		k.Hurry()
 		return // the next look shows whether another host has taken it
 	}
@@ -381,12 +381,3 @@
 	}
 	k.Log.Info("Lease released.", "epoch", record.Epoch)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/service/executor.go
+++ b/internal/service/executor.go
@@ -214,7 +214,7 @@
 		if err != nil || result.Kind != idempotency.InProgress || x.options.Clock.Now().After(waitEnd) {
 			return result, err
 		}
-		if !pause(ctx, repeatPoll) {
+		if !clock.Sleep(ctx, repeatPoll) {
 			return result, nil
 		}
 	}
@@ -288,7 +288,7 @@
 		if !ok {
 			x.tried = x.tried[:0]
 		}
-		if !pause(ctx, noWorkerPause) {
+		if !clock.Sleep(ctx, noWorkerPause) {
 			return nil, "", x.ranBefore(problem.New(problem.NoCapacity, "no worker of service %q is available", x.call.Service))
 		}
 	}
@@ -433,15 +433,3 @@
 		return problem.MayHaveRun(problem.StoreUnavailable, err, "the claim of an earlier request could not be read")
 	}
 }
-
-// pause waits and reports whether the context still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -44,7 +44,7 @@
 	connected := true
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
-			sleep(ctx, neededPause)
+			clock.Sleep(ctx, neededPause)
 			continue
 		}
 		err := f.step(ctx)
@@ -54,7 +54,7 @@
 			}
 			connected = true
 			_, pause := f.Pace()
-			sleep(ctx, pause)
+			clock.Sleep(ctx, pause)
 			continue
 		}
 		if connected && ctx.Err() == nil {
@@ -64,7 +64,7 @@
 		if f.Lost != nil && ctx.Err() == nil {
 			f.Lost(err)
 		}
-		sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -104,12 +104,3 @@
 	f.Replica.Take(page, true, asked)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
