Pool the shares of hosts that have lost the coordinator

Cause: without a coordinator each host lives on its share of a workspace's rate.

Change: the coordinator names stewards, large hosts first, one for all and one of each data centre. Hosts on shares give a steward what they do not need and take what they lack. A pot creates nothing, so that any number of pots is safe.

Ruled out: admitting by chance in proportion to the balance (two thirds of the requests of a workspace within its rate would still be refused in a gap of 3 s).

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -30,6 +30,7 @@
 	banks  []*Bank
 	down   []bool // hosts without contact to the coordinator
 	ledger *Ledger
+	pot    *Pot // of the hosts without the coordinator; nil: none
 	spent  []spent
 	random *rand.Rand
 	// waiting are the requests that wait for a grant, by host.
@@ -59,16 +60,27 @@
 func (f *playedFleet) exchange() {
 	workspaces := map[string]*catalog.Workspace{"w": workspace}
 	for i, bank := range f.banks {
+		host := fmt.Sprint(i)
 		if f.down[i] || f.ledger == nil {
+			f.exchangePot(host, bank, workspaces)
 			continue
 		}
-		host := fmt.Sprint(i)
 		f.ledger.Hear(f.now, host)
 		needs := bank.Needs(f.now, workspaces)
 		bank.Apply(f.now, map[string]Grant{"w": f.ledger.Exchange(f.now, host, workspace, needs["w"])})
 	}
 }
 
+func (f *playedFleet) exchangePot(host string, bank *Bank, workspaces map[string]*catalog.Workspace) {
+	if f.pot == nil {
+		return
+	}
+	needs := bank.PotNeeds(f.now, workspaces)
+	if need, ok := needs["w"]; ok {
+		bank.ApplyPot(f.now, map[string]Grant{"w": f.pot.Exchange(f.now, host, workspace, need)})
+	}
+}
+
 // play lets each host ask for the given rate, in tokens per second, for a time.
 func (f *playedFleet) play(d time.Duration, rates []float64) (asked, taken float64) {
 	const step = 10 * time.Millisecond
@@ -274,6 +286,45 @@
 	}
 }
 
+// The share of one of many hosts is less than one request: without the coordinator
+// nearly all requests were refused (tokachi grown trouble-3, 1,422 on a day).
+func TestManyHostsWithoutCoordinator(t *testing.T) {
+	f := newPlayedFleet(72)
+	f.pot = NewPot()
+	rates := even(72, 0.6*workspace.PerS)
+	f.play(4*time.Second, rates)
+	hosts := f.ledger.Hosts()
+	f.ledger = nil
+	f.play(600*time.Millisecond, rates) // until the hosts notice
+	asked, taken := f.play(2400*time.Millisecond, rates)
+	f.ledger = NewLedger(f.now, false, hosts)
+	f.play(4*time.Second, rates)
+	f.check(t)
+	if taken < 0.9*asked {
+		t.Errorf("%.0f of %.0f tokens served", taken, asked)
+	}
+}
+
+// Pots create nothing, however much the workspace asks for and however often the
+// coordinator changes.
+func TestPotsAtSeveralTimesTheRate(t *testing.T) {
+	for _, hosts := range []int{8, 72} {
+		f := newPlayedFleet(hosts)
+		f.pot = NewPot()
+		rates := even(hosts, 5*workspace.PerS)
+		f.play(time.Second, even(hosts, 0.1*workspace.PerS))
+		for range 4 {
+			f.play(2*time.Second, rates)
+			known := f.ledger.Hosts()
+			f.ledger = nil
+			f.play(2500*time.Millisecond, rates)
+			f.pot = NewPot() // another host keeps the next one
+			f.ledger = NewLedger(f.now, false, known)
+		}
+		f.check(t)
+	}
+}
+
 func TestRefundCanBeSpentAgain(t *testing.T) {
 	bank := NewBank()
 	bank.Apply(time.Second, map[string]Grant{"w": {Amount: 100}})
--- a/internal/allowance/bank.go
+++ b/internal/allowance/bank.go
@@ -25,6 +25,8 @@
 	shareQueue = 0.25
 	// shareStock bounds what a host saves while it lives on its share, in seconds.
 	shareStock = 1.0
+	// pooledFor is how long an exchange with a pot counts.
+	pooledFor = 700 * time.Millisecond
 )
 
 type account struct {
@@ -36,7 +38,8 @@
 	shareAt  time.Duration // end of the last exchange
 	shareOn  bool          // living on the share
 	accrued  time.Duration // up to when the share is paid out
-	shortage bool          // the coordinator said: exhausted
+	shortage bool          // the coordinator or the pot said: exhausted
+	pooledAt time.Duration // last exchange with a pot
 }
 
 // Bank is a host's stock of granted amounts. It is safe for concurrent use.
@@ -68,7 +71,7 @@
 	a := b.account(w.Name, now)
 	b.payShare(a, w, now)
 	if a.balance < cost {
-		if a.shortage || (a.shareOn && a.pending > a.share*shareQueue) {
+		if a.shortage || (a.alone(now) && a.pending > a.share*shareQueue) {
 			return Exhausted
 		}
 		return Short
@@ -143,6 +146,45 @@
 	return needs
 }
 
+// PotNeeds returns what to ask a pot for and what to give it, and settles the
+// latter, for the accounts that live on their shares.
+func (b *Bank) PotNeeds(now time.Duration, workspaces map[string]*catalog.Workspace) map[string]Need {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	needs := map[string]Need{}
+	for _, w := range workspaces {
+		if !w.Limited() {
+			continue
+		}
+		a := b.account(w.Name, now)
+		b.payShare(a, w, now)
+		if !a.shareOn {
+			continue
+		}
+		var need Need
+		if kept := a.pending + a.share*leastStock; a.balance > kept {
+			need.Returned = a.balance - kept
+			a.balance = kept
+		}
+		need.Want = max(0, a.pending-a.balance)
+		needs[w.Name] = need
+	}
+	return needs
+}
+
+// ApplyPot takes over the grants of a pot.
+func (b *Bank) ApplyPot(now time.Duration, grants map[string]Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, grant := range grants {
+		a := b.account(name, now)
+		a.balance += grant.Amount
+		a.shortage, a.pooledAt = grant.Exhausted && a.shareOn, now
+	}
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
 // Apply takes over the grants of an exchange.
 func (b *Bank) Apply(now time.Duration, grants map[string]Grant) {
 	b.mu.Lock()
@@ -183,6 +225,11 @@
 	return a
 }
 
+// alone reports whether the host lives on its share without a pot.
+func (a *account) alone(now time.Duration) bool {
+	return a.shareOn && (a.pooledAt == 0 || now-a.pooledAt > pooledFor)
+}
+
 func (a *account) decay(now time.Duration) {
 	passed := (now - a.rateAt).Seconds()
 	a.rateAt = now
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -135,7 +135,7 @@
 	refill := w.PerS * l.reachable()
 	b.level = min(most, b.level+refill*(now-b.at).Seconds()+need.Returned)
 	b.at, b.perS = now, w.PerS
-	total := need.Want + b.unmet(now, host)
+	total := need.Want + unmet(b.wants, now, host)
 	amount := need.Want
 	short := total > b.level
 	if short && total > 0 {
@@ -152,12 +152,12 @@
 }
 
 // unmet returns what other hosts wanted a moment ago and were not granted.
-func (b *bucket) unmet(now time.Duration, host string) float64 {
+func unmet(wants map[string]want, now time.Duration, host string) float64 {
 	total := 0.0
-	for name, other := range b.wants {
+	for name, other := range wants {
 		switch {
 		case now-other.at > wantMemory:
-			delete(b.wants, name)
+			delete(wants, name)
 		case name != host:
 			total += other.amount
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 	lostRuns    lostRunBook
 	storeStarts []time.Duration
 	estimates   []Estimate
+	stewards    []Steward
 	actions     sync.WaitGroup
 }
 
@@ -91,6 +92,7 @@
 	c.views = newViewBook()
 	c.lostRuns = lostRunBook{}
 	c.estimates = nil
+	c.stewards = nil
 }
 
 // Hosts returns the hosts that may live on shares.
@@ -128,6 +130,7 @@
 	reply.Estimates = c.estimatesFor(request)
 	reply.Quarantined = c.lostRuns.refused()
 	reply.Running = c.demand.others(request.Host)
+	reply.Stewards = c.stewards
 	return reply
 }
 
@@ -184,6 +187,7 @@
 	c.ledger.Forget(now)
 	c.demand.forget(now)
 	c.lostRuns.forget(now)
+	c.stewards = c.demand.stewards(c.host)
 	c.observe(now, upstreams, config)
 	c.noteUnreachable()
 	c.ask(ctx, now)
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -29,6 +29,8 @@
 
 type hostWord struct {
 	at          time.Duration
+	steward     Steward
+	large       bool
 	demand      []ModelDemand
 	running     []RunningCount
 	unreachable []string
@@ -74,7 +76,10 @@
 func (b *demandBook) note(now time.Duration, request *ExchangeRequest) {
 	b.count(b.hosts[request.Host].running, -1)
 	b.count(request.Running, 1)
-	b.hosts[request.Host] = hostWord{at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable}
+	b.hosts[request.Host] = hostWord{
+		at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable,
+		steward: Steward{Address: request.Address, DataCenter: request.DataCenter}, large: request.Large,
+	}
 	for _, d := range request.Demand {
 		rate := b.rates[d.ModelKey]
 		if rate == nil {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -49,8 +49,10 @@
 type ExchangeRequest struct {
 	Host        string                    `json:"host"`
 	DataCenter  string                    `json:"data_center"`
-	Epoch       int64                     `json:"epoch"`        // of the view that the host has
-	ViewVersion int64                     `json:"view_version"` // of the view that the host has
+	Address     string                    `json:"address"`         // IP:port for other hosts
+	Large       bool                      `json:"large,omitempty"` // it can bear work for others
+	Epoch       int64                     `json:"epoch"`           // of the view that the host has
+	ViewVersion int64                     `json:"view_version"`    // of the view that the host has
 	Demand      []ModelDemand             `json:"demand,omitempty"`
 	Running     []RunningCount            `json:"running,omitempty"`
 	Needs       map[string]allowance.Need `json:"needs,omitempty"`
@@ -84,6 +86,23 @@
 	Gone    []string     `json:"gone,omitempty"` // upstreams
 }
 
+// Steward is a host that keeps a pot for the hosts that lose the coordinator.
+type Steward struct {
+	Address    string `json:"address"` // IP:port
+	DataCenter string `json:"data_center"`
+}
+
+// PotRequest is what a host without the coordinator tells a steward.
+type PotRequest struct {
+	Host  string                    `json:"host"`
+	Needs map[string]allowance.Need `json:"needs"` // by workspace
+}
+
+// PotReply is a steward's answer.
+type PotReply struct {
+	Grants map[string]allowance.Grant `json:"grants"` // by workspace
+}
+
 // ExchangeReply is the coordinator's answer.
 type ExchangeReply struct {
 	// Holder says whether the host that was asked holds the lease. Without it
@@ -96,7 +115,8 @@
 	Revision   int64                      `json:"revision"`
 	ValidForMS int64                      `json:"valid_for_ms"`
 	Hosts      int                        `json:"hosts"`
-	View       *View                      `json:"view,omitempty"` // nil: unchanged
+	Stewards   []Steward                  `json:"stewards,omitempty"` // in the order in which to ask them
+	View       *View                      `json:"view,omitempty"`     // nil: unchanged
 	Grants     map[string]allowance.Grant `json:"grants,omitempty"`
 	Estimates  []Estimate                 `json:"estimates,omitempty"`
 	// Quarantined are the fingerprints of requests that crash upstreams.
--- a/internal/coordinator/rpc.go
+++ b/internal/coordinator/rpc.go
@@ -17,6 +17,7 @@
 const (
 	exchangeCall = "/coordinator/Exchange"
 	adapterCall  = "/coordinator/Adapter"
+	potCall      = "/coordinator/Pot"
 )
 
 // dialTimeout bounds a connection to another host.
@@ -43,6 +44,7 @@
 type Service interface {
 	Exchange(ctx context.Context, request *ExchangeRequest) *ExchangeReply
 	Adapter(ctx context.Context, request *AdapterRequest) *AdapterReply
+	Pot(ctx context.Context, request *PotRequest) *PotReply
 }
 
 type handler struct{ service Service }
@@ -51,32 +53,35 @@
 func (h handler) HandleRPC(stream drpc.Stream, call string) error {
 	switch call {
 	case exchangeCall:
-		var request ExchangeRequest
-		if err := stream.MsgRecv(&request, encoding{}); err != nil {
-			return err
-		}
-		return stream.MsgSend(h.service.Exchange(stream.Context(), &request), encoding{})
+		return answer(stream, h.service.Exchange)
 	case adapterCall:
-		var request AdapterRequest
-		if err := stream.MsgRecv(&request, encoding{}); err != nil {
-			return err
-		}
-		return stream.MsgSend(h.service.Adapter(stream.Context(), &request), encoding{})
+		return answer(stream, h.service.Adapter)
+	case potCall:
+		return answer(stream, h.service.Pot)
 	default:
 		return &UnknownCallError{Call: call}
 	}
 }
 
+// answer reads a request and sends the reply of a call.
+func answer[In, Out any](stream drpc.Stream, call func(context.Context, *In) *Out) error {
+	var request In
+	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+		return err
+	}
+	return stream.MsgSend(call(stream.Context(), &request), encoding{})
+}
+
 // Serve answers calls until the context ends.
 func Serve(ctx context.Context, listener net.Listener, service Service) error {
 	return drpcserver.New(handler{service}).Serve(ctx, listener)
 }
 
 // Client calls the coordinator at one address at a time. Calls of one kind are
-// made one after another; Exchange and Adapter use connections of their own. It
-// is safe for concurrent use.
+// made one after another; each kind uses a connection of its own. It is safe for
+// concurrent use.
 type Client struct {
-	exchange, adapter channel
+	exchange, adapter, pot channel
 }
 
 // channel is one connection. A failed call closes it.
@@ -110,6 +115,12 @@
 	return &reply, c.adapter.invoke(ctx, address, adapterCall, request, &reply)
 }
 
+// Pot calls the steward at IP:port.
+func (c *Client) Pot(ctx context.Context, address string, request *PotRequest) (*PotReply, error) {
+	var reply PotReply
+	return &reply, c.pot.invoke(ctx, address, potCall, request, &reply)
+}
+
 func (c *channel) invoke(ctx context.Context, address, call string, in, out any) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,7 @@
 	directory   *Directory
 	waiting     *waitingBook
 	bank        *allowance.Bank
+	pooling     *pooling
 	budget      *Budget
 	crashes     *crashBook
 
@@ -111,7 +112,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-e.wake:
-		sleep(ctx, max(exchangeGap, hosts*busyPerHost/2))
+		clock.Sleep(ctx, max(exchangeGap, hosts*busyPerHost/2))
 	}
 }
 
@@ -141,6 +142,7 @@
 	e.directory.ApplyExchange(reply)
 	e.crashes.apply(reply.Quarantined)
 	e.bank.Apply(now, reply.Grants)
+	e.pooling.hear(reply.Stewards, reply.Hosts)
 	return nil
 }
 
@@ -164,7 +166,8 @@
 func (e *exchanger) request() *coordinator.ExchangeRequest {
 	epoch, version := e.directory.ViewVersion()
 	request := &coordinator.ExchangeRequest{
-		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Epoch: epoch, ViewVersion: version,
+		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Address: e.settings.PeerListen, Large: e.settings.large(),
+		Epoch: epoch, ViewVersion: version,
 		Demand: e.waiting.demand(time.Now()), Running: e.directory.RunningCounts(),
 		Unreachable: e.directory.Unreachable(), Doubts: e.directory.Doubts(), Lost: e.crashes.report(time.Now()), Tables: map[string]int64{},
 	}
@@ -210,6 +213,11 @@
 	return e.coordinator.Adapter(ctx, request)
 }
 
+// Pot implements coordinator.Service.
+func (e *exchanger) Pot(_ context.Context, request *coordinator.PotRequest) *coordinator.PotReply {
+	return e.pooling.exchange(request)
+}
+
 // NoCoordinatorError reports that no host coordinates as far as is known.
 type NoCoordinatorError struct{ Asked string }
 
@@ -267,7 +275,7 @@
 		pending.reply, pending.err = e.client.Adapter(ctx, record.Address, request)
 	}
 	if pending.err == nil && pending.reply.Upstream != "" {
-		sleep(ctx, time.Duration(pending.reply.ReadyInMS)*time.Millisecond)
+		clock.Sleep(ctx, time.Duration(pending.reply.ReadyInMS)*time.Millisecond)
 		e.directory.NoteAdapter(pending.reply.Upstream, id.Model, id.adapter)
 	}
 	e.adapters.mu.Lock()
@@ -282,12 +290,3 @@
 	}
 	return err.Error()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,10 +53,10 @@
 	upstreamPause = 250 * time.Millisecond
 	// leaseDuration is how long a renewal of the lease is valid.
 	leaseDuration = 2 * time.Second
-	// coordinatorShare is the part of a core below which a host leaves the
-	// coordination to larger ones, if there are any.
-	coordinatorShare = 0.35
-	reluctance       = 1200 * time.Millisecond
+	// largeShare is the part of a core below which a host leaves the work for
+	// others to larger ones, if there are any.
+	largeShare = 0.35
+	reluctance = 1200 * time.Millisecond
 	// leaseSlack covers differences of clocks and orders on their way.
 	leaseSlack = 250 * time.Millisecond
 	// drainNotice is the time between reporting not ready and closing the
@@ -123,7 +123,7 @@
 			Duration: leaseDuration, Arrival: coordinator.OrderTimeout, Handover: s.Handover(), Slack: leaseSlack,
 		},
 	}
-	if s.ProcessorShare > 0 && s.ProcessorShare < coordinatorShare {
+	if !s.large() {
 		g.keeper.Reluctance = reluctance
 	}
 	g.coordinator = coordinator.New(s.Host, g.keeper, knowledge{g.directory, g.config}, options.Engines, options.Log)
@@ -134,6 +134,7 @@
 		wake:     make(chan struct{}, 1),
 		replicas: map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.directory.Replica},
 	}
+	g.exchanger.pooling = newPooling(&g.settings, g.log, g.exchanger.bank, g.config.current.Load, &g.exchanger.client)
 	g.keeper.Hosts = g.coordinator.Hosts
 	g.keeper.Reached = g.exchanger.Reached
 	g.keeper.Taken = func(last lease.Record) { g.coordinator.Take(last.Holder == "", last.Hosts) }
@@ -252,6 +253,7 @@
 	group.Go(func() { upstreams.Run(ctx) })
 	group.Go(func() { g.keeper.Run(ctx) })
 	group.Go(func() { g.exchanger.run(ctx) })
+	group.Go(func() { g.exchanger.pooling.run(ctx) })
 	group.Go(func() { g.coordinator.Run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	group.Go(func() { g.serveSide(l.ready, g.readyHandler()) })
@@ -333,7 +335,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	g.keeper.Stop(ctx)
-	sleep(ctx, drainNotice)
+	clock.Sleep(ctx, drainNotice)
 	if err := server.Shutdown(ctx); err != nil {
 		g.log.Info("Requests cut at the end of the shutdown.", "requests", g.inFlight.Load(), "error", err.Error())
 		_ = server.Close() // the process ends
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -159,3 +159,6 @@
 func (s *Settings) Handover() time.Duration { return seconds(s.HandoverMS / 1000) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// large reports whether the host can bear work for others.
+func (s *Settings) large() bool { return s.ProcessorShare == 0 || s.ProcessorShare >= largeShare }
