End a stream as broken when the run that was to resume it fails

Cause: a stream broke off and went on at another engine, whose run ended with a 500 of its own.

Change: an answer with a failure to a resumed stream counts as a lost run: another upstream is tried within the route's number, else the caller's connection is cut.

Figures: the new test fails before (broken false) and passes after.

Conclusion: this could come on any site with resumable streams.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,10 +32,15 @@
 
 // pass passes an answer on.
 func (d *dispatcher) pass(id string, answer *upstream.Answer) (again bool, refused *refusal) {
-	if d.relay.begun || (d.route.Kind == catalog.Stream && answer.Status < 300) {
+	switch success := answer.Status < http.StatusMultipleChoices; {
+	case d.relay.begun && !success:
+		d.log("Run that was to resume the stream failed.", id, &FailedAnswerError{Status: answer.Status})
+		return d.afterLoss(id, "resumed run failed", OutcomeFailed)
+	case d.route.Kind == catalog.Stream && success:
 		return d.passStream(id, answer)
+	default:
+		return d.passWhole(id, answer)
 	}
-	return d.passWhole(id, answer)
 }
 
 // passWhole reads the whole answer before it passes it on, so that a broken
--- a/tests/gateway/path_test.go
+++ b/tests/gateway/path_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -146,6 +147,33 @@
 	}
 }
 
+// The run that was to go on with a stream failed with an answer of its own, and
+// the stream was ended as if it were whole (ORDER, tuulgan grown scale-1, seed
+// 27043282022).
+func TestResumedRunFails(t *testing.T) {
+	r := newRig(t, 1)
+	r.engine.SetFaults(platformtest.WorkerFaults{CutAfter: 2})
+	second := platformtest.NewWorker("engine-2", "llm", "m1")
+	t.Cleanup(second.Close)
+	second.SetFaults(platformtest.WorkerFaults{FailStatus: 500})
+	r.store.Set("servers", second.ID, second.Entry("ready"))
+	r.await("second engine known", func() bool { return r.hosts[0].State().Upstreams == 4 })
+	begun := 0
+	for i := range 8 {
+		got := r.chat(0, "/review/1", fmt.Sprintf("r%d", i), "m1")
+		if got.status != http.StatusOK {
+			continue // it came to the second engine first
+		}
+		begun++
+		if !got.broken || !strings.HasPrefix(wholeStream, got.body) {
+			t.Errorf("stream: broken %v, body %q", got.broken, got.body)
+		}
+	}
+	if begun == 0 {
+		t.Error("no stream began")
+	}
+}
+
 func TestColdModelIsLoaded(t *testing.T) {
 	r := newRig(t, 2)
 	for i, model := range []string{"m2", "m3", "m4", "m5"} {
