Keep hosts of a calm fleet from asking the store themselves

The age of a relayed table is that of the call before the one that waits: with quiet upstreams up to 3.2 s, and hosts accept 1.6 s. A host that then asked for itself was ahead of the coordinator, so that the relay did not count as a confirmation, and it went on asking.

Change: the coordinator's watch of the upstreams waits 0.5 s instead of 1.5 s; a host that is ahead of a coordinator that is up to date counts as relayed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -155,8 +155,11 @@
 	oldest := min(relayAge, e.settings.partOfBound(relayParts))
 	for name, replica := range e.replicas {
 		update, ok := reply.Tables[name]
-		fresh := time.Duration(update.AgeMS)*time.Millisecond < oldest
-		confirmed = ok && replica.Accept(update, asked) && fresh && confirmed
+		// A replica that is ahead, because this host asked the table service
+		// itself, needs no further call either.
+		replica.Accept(update, asked)
+		fresh := update.Revision >= 0 && time.Duration(update.AgeMS)*time.Millisecond < oldest
+		confirmed = ok && fresh && confirmed
 	}
 	if confirmed {
 		e.relayed.Store(int64(now))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,14 +43,16 @@
 	// confirmParts is the number of confirmations of the configuration that are
 	// to come within the bound for keys.
 	confirmParts = 4
-	// hostConfigWait and hostUpstreamPause apply to hosts that only follow for
-	// themselves, until a coordinator relays again.
+	// upstreamWait and upstreamPause pace the coordinator's watch of the
+	// upstreams; each heartbeat of each of them is a change. Two waits and the
+	// pause are less than relayAge, or all hosts watch for themselves.
+	upstreamWait  = 500 * time.Millisecond
+	upstreamPause = 250 * time.Millisecond
+	// hostConfigWait, hostUpstreamWait and hostUpstreamPause apply to hosts that
+	// only follow for themselves, until a coordinator relays again.
 	hostConfigWait    = 1100 * time.Millisecond
+	hostUpstreamWait  = 1500 * time.Millisecond
 	hostUpstreamPause = 600 * time.Millisecond
-	// upstreamWait and upstreamPause pace the watch of the upstreams; each
-	// heartbeat of each of them is a change.
-	upstreamWait  = 1500 * time.Millisecond
-	upstreamPause = 250 * time.Millisecond
 	// leaseDuration is how long a renewal of the lease is valid.
 	leaseDuration = 2 * time.Second
 	// largeShare is the part of a core below which a host leaves the work for
@@ -246,7 +248,7 @@
 		Reader: g.options.Reader, Table: g.options.UpstreamTable, Replica: &g.directory.Replica,
 		Log: g.log, Lost: g.directory.Lost, Needed: func() bool { return !g.exchanger.Relayed() },
 		Pace: func() (wait, pause time.Duration) {
-			return g.pace(upstreamWait, upstreamPause, upstreamWait, hostUpstreamPause)
+			return g.pace(upstreamWait, upstreamPause, hostUpstreamWait, hostUpstreamPause)
 		},
 	}
 	group.Go(func() { configs.Run(ctx) })
