Take what hosts have paid themselves out of the bucket

A host whose exchanges take between 0.5 and 0.9 s pays itself its share each time, and the ledger, which counts it as silent only after 0.9 s, grants to it as well.

Change: a host reports what it has paid itself since its last exchange; the ledger takes it out of the bucket unless it has held the share back.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -30,7 +30,8 @@
 	banks  []*Bank
 	down   []bool // hosts without contact to the coordinator
 	ledger *Ledger
-	pot    *Pot // of the hosts without the coordinator; nil: none
+	pot    *Pot          // of the hosts without the coordinator; nil: none
+	period time.Duration // of exchanges
 	spent  []spent
 	random *rand.Rand
 	// waiting are the requests that wait for a grant, by host.
@@ -49,7 +50,7 @@
 )
 
 func newPlayedFleet(hosts int) *playedFleet {
-	f := &playedFleet{waiting: map[int][]waitingRequest{}, now: 100 * time.Second, down: make([]bool, hosts), random: rand.New(rand.NewPCG(1, 2))}
+	f := &playedFleet{period: 200 * time.Millisecond, waiting: map[int][]waitingRequest{}, now: 100 * time.Second, down: make([]bool, hosts), random: rand.New(rand.NewPCG(1, 2))}
 	for range hosts {
 		f.banks = append(f.banks, NewBank())
 	}
@@ -85,7 +86,7 @@
 func (f *playedFleet) play(d time.Duration, rates []float64) (asked, taken float64) {
 	const step = 10 * time.Millisecond
 	for end := f.now + d; f.now < end; f.now += step {
-		if f.now%(200*time.Millisecond) == 0 {
+		if f.now%f.period == 0 {
 			f.exchange()
 		}
 		for i, bank := range f.banks {
@@ -325,6 +326,17 @@
 	}
 }
 
+// With exchanges that take longer than a host waits for them, each host pays
+// itself its share in every one of them: the fleet spent twice the rate.
+func TestSlowExchanges(t *testing.T) {
+	for _, period := range []time.Duration{600 * time.Millisecond, 800 * time.Millisecond, time.Second} {
+		f := newPlayedFleet(8)
+		f.period = period
+		f.play(20*time.Second, even(8, 5*workspace.PerS))
+		f.check(t)
+	}
+}
+
 func TestRefundCanBeSpentAgain(t *testing.T) {
 	bank := NewBank()
 	bank.Apply(time.Second, map[string]Grant{"w": {Amount: 100}})
--- a/internal/allowance/bank.go
+++ b/internal/allowance/bank.go
@@ -40,6 +40,9 @@
 	accrued  time.Duration // up to when the share is paid out
 	shortage bool          // the coordinator or the pot said: exhausted
 	pooledAt time.Duration // last exchange with a pot
+	// paid is what the share has paid since the last exchange with the
+	// coordinator, and told the part of it that the coordinator is being told.
+	paid, told float64
 }
 
 // Bank is a host's stock of granted amounts. It is safe for concurrent use.
@@ -132,8 +135,9 @@
 		}
 		a := b.account(w.Name, now)
 		a.decay(now)
+		a.told = a.paid
 		target := min(max(a.rate*holdTime.Seconds(), a.share*leastStock), a.share*mostStock) + a.pending
-		var need Need
+		need := Need{Paid: a.paid}
 		switch {
 		case a.balance < target:
 			need.Want = target - a.balance
@@ -194,6 +198,8 @@
 		a.balance += grant.Amount
 		a.share, a.shareAt, a.shareOn = grant.Share, now, false
 		a.shortage = grant.Exhausted
+		a.paid -= a.told
+		a.told = 0
 	}
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -211,7 +217,9 @@
 	}
 	until := min(now, a.shareAt+ShareValid)
 	if until > a.accrued {
-		a.balance = min(a.balance+min(a.share, w.PerS)*(until-a.accrued).Seconds(), max(a.balance, a.share*shareStock))
+		paid := min(min(a.share, w.PerS)*(until-a.accrued).Seconds(), max(0, a.share*shareStock-a.balance))
+		a.balance += paid
+		a.paid += paid
 		a.accrued = until
 	}
 }
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -31,6 +31,8 @@
 type Need struct {
 	Want     float64 `json:"want,omitempty"`
 	Returned float64 `json:"returned,omitempty"`
+	// Paid is what the host has paid itself of its share since the last exchange.
+	Paid float64 `json:"paid,omitempty"`
 }
 
 // Grant is the coordinator's side of an exchange, for one workspace.
@@ -61,6 +63,7 @@
 	buckets map[string]*bucket
 	heard   map[string]time.Duration // by host
 	silent  map[string]bool          // hosts that live on their shares
+	covered map[string]bool          // hosts whose shares were held back until their last exchange
 	started time.Duration
 	full    bool
 }
@@ -70,7 +73,8 @@
 // an earlier coordinator gave shares to.
 func NewLedger(now time.Duration, full bool, hosts []string) *Ledger {
 	l := &Ledger{
-		buckets: map[string]*bucket{}, heard: map[string]time.Duration{}, silent: map[string]bool{}, started: now, full: full,
+		buckets: map[string]*bucket{}, heard: map[string]time.Duration{}, silent: map[string]bool{}, covered: map[string]bool{},
+		started: now, full: full,
 	}
 	for _, host := range hosts {
 		l.heard[host] = now - SilentAfter
@@ -82,6 +86,7 @@
 // Hear notes that a host is in contact.
 func (l *Ledger) Hear(now time.Duration, host string) {
 	l.heard[host] = now
+	l.covered[host] = l.silent[host]
 	delete(l.silent, host)
 }
 
@@ -100,6 +105,7 @@
 		if now-at > ShareValid+SilentAfter {
 			delete(l.heard, host)
 			delete(l.silent, host)
+			delete(l.covered, host)
 		}
 	}
 }
@@ -127,7 +133,7 @@
 	return 1 - float64(len(l.silent))/float64(len(l.heard))
 }
 
-// Exchange settles a host's need.
+// Exchange settles a need of a host that has just been heard.
 func (l *Ledger) Exchange(now time.Duration, host string, w *catalog.Workspace, need Need) Grant {
 	l.noteSilence(now)
 	b := l.bucket(now, w)
@@ -135,6 +141,9 @@
 	refill := w.PerS * l.reachable()
 	b.level = min(most, b.level+refill*(now-b.at).Seconds()+need.Returned)
 	b.at, b.perS = now, w.PerS
+	if !l.covered[host] {
+		b.level -= need.Paid // it was silent too briefly for its share to be held back
+	}
 	total := need.Want + unmet(b.wants, now, host)
 	amount := need.Want
 	short := total > b.level
