--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -2,7 +2,7 @@
 // The coordinator's Ledger refills one bucket for each workspace and grants
 // from it; each host spends from its Bank. A host that does not reach the
 // coordinator lives on a fixed share, which the ledger keeps back while the
-// host is silent. All decisions take the time as an argument.
+// host is silent; such hosts pool their shares in a Pot. All decisions take the time as an argument.
 package allowance
 
 import (
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -34,8 +34,8 @@
 	// KeyConfirmationMS is how long keys may be accepted after the platform
 	// has confirmed the configuration, in milliseconds; 0: without limit.
 	KeyConfirmationMS float64 `json:"key_confirmation_ms"`
-	// HandoverMS is the time between the orders of two coordinators, in
-	// milliseconds.
+	// HandoverMS is the time, in milliseconds, before a coordinator that comes
+	// back after another one may order.
 	HandoverMS float64       `json:"handover_ms"`
 	Retry      RetrySettings `json:"retry"`
 	// LogLevel is the logr verbosity: 0 logs decisions, 1 adds details.
@@ -155,7 +155,8 @@
 	return s.KeyConfirmation() / time.Duration(parts)
 }
 
-// Handover returns the time between the orders of two coordinators.
+// Handover returns the time before a coordinator that comes back after another
+// one may order.
 func (s *Settings) Handover() time.Duration { return seconds(s.HandoverMS / 1000) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
