Quarantine at a third crash only when no single other request explains it

The rule for the third crash counted such crashes without asking who else was there, so the innocent request was quarantined for ten minutes. Change: crashes to which a request was sent alone prove its guilt at the third crash only when no single other suspect was at all of them.

--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -26,9 +26,9 @@
 // upstreams that crashed. A request that has shared a crash is a suspect and
 // runs again only where no other suspect runs. It is quarantined when it has
 // been at two crashes and was the only suspect at one of them, or at three
-// crashes and was sent as the only suspect to two of them: an innocent request
-// may share any number of crashes with the guilty one. It is safe for
-// concurrent use.
+// crashes, was sent as the only suspect to two of them, and no single other
+// suspect was at all of these: an innocent request may share any number of
+// crashes with the guilty one. It is safe for concurrent use.
 type Suspects struct {
 	metrics *suspectMetrics
 
@@ -145,40 +145,25 @@
 	if known == nil || known.active() < quarantineCrashes {
 		return time.Time{}, false
 	}
-	if known.active() > quarantineCrashes && known.activeIsolated() >= quarantineCrashes {
+	isolated := known.isolatedCrashes()
+	if known.active() > quarantineCrashes && len(isolated) >= quarantineCrashes && !s.shared(f, isolated...) {
 		return known.lastExpiry(), true
 	}
-	for i := range known.records {
-		r := &known.records[i]
-		if r.isolated && !r.cleared && !s.shared(f, r.crash) {
+	for _, crash := range isolated {
+		if !s.shared(f, crash) {
 			return known.lastExpiry(), true
 		}
 	}
 	return time.Time{}, false
 }
 
-// activeIsolated returns the number of crashes at which the request was the only
-// suspect when it was sent.
-func (k *suspect) activeIsolated() int {
-	count := 0
-	for i := range k.records {
-		if r := &k.records[i]; r.isolated && !r.cleared {
-			count++
-		}
-	}
-	return count
-}
-
 // shared reports whether another request that is a suspect because of another
-// crash, too, was at a crash: then the crash proves nothing. It happens when a
-// request became a suspect while it ran beside an isolated run, and when two
-// hosts had not yet heard of each other's runs.
-func (s *Suspects) shared(f Fingerprint, c Crash) bool {
+// crash, too, was at all of the given crashes: then they prove nothing. It
+// happens when a request became a suspect while it ran beside an isolated run,
+// and when two hosts had not yet heard of each other's runs.
+func (s *Suspects) shared(f Fingerprint, crashes ...Crash) bool {
 	for other, known := range s.suspects {
-		if other == f || known.active() < quarantineCrashes {
-			continue
-		}
-		if r := known.find(c); r != nil && !r.cleared {
+		if other != f && known.active() >= quarantineCrashes && known.wasAtAll(crashes) {
 			return true
 		}
 	}
--- a/internal/retry/suspicion.go
+++ b/internal/retry/suspicion.go
@@ -106,6 +106,28 @@
 	return nil
 }
 
+// wasAtAll reports whether all of the crashes count against the request.
+func (s *suspect) wasAtAll(crashes []Crash) bool {
+	for _, crash := range crashes {
+		if r := s.find(crash); r == nil || r.cleared {
+			return false
+		}
+	}
+	return true
+}
+
+// isolatedCrashes returns the crashes that count against the request and to
+// which it was sent as the only suspect.
+func (s *suspect) isolatedCrashes() []Crash {
+	var crashes []Crash
+	for i := range s.records {
+		if r := &s.records[i]; r.isolated && !r.cleared {
+			crashes = append(crashes, r.crash)
+		}
+	}
+	return crashes
+}
+
 // active returns how many crashes count against the request.
 func (s *suspect) active() int {
 	count := 0
