Keep hosts of large fleets in contact with the coordinator

An exchange came every 6 ms x hosts, 1.8 s, but a host counts as cut off after 0.7 s and lives on its share after 0.5 s, so all hosts read the store's tables themselves (0.93 GB) and looked for the lease. Each exchange named the requests at all engines; a new coordinator sent 3,000 engines to each host, and its lease ended while its link was full.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -129,11 +129,20 @@
 	reply.View = c.views.since(c.fleet, request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
 	reply.Quarantined = c.lostRuns.refused()
-	reply.Running = c.demand.others(request.Host)
+	reply.Running = c.demand.others(request.Host, c.slots)
 	reply.Stewards = c.stewards
 	return reply
 }
 
+// slots returns the number of requests that an upstream runs at once. Plain
+// services are not in the fleet and have few: 0.
+func (c *Coordinator) slots(upstream string) int {
+	if engine := c.fleet[upstream]; engine != nil {
+		return engine.upstream.Slots
+	}
+	return 0
+}
+
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
 	grants := map[string]allowance.Grant{}
 	for name, need := range request.Needs {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -11,6 +11,9 @@
 	demandMemory = 4 * time.Second
 	// hostSilence is when a host's last word about its requests ends.
 	hostSilence = 1500 * time.Millisecond
+	// unnoticedParts is the part of a batch, one in so many, below which the
+	// requests of other hosts are not told: they slow the others hardly down.
+	unnoticedParts = 8
 	// adapterMemory is how long an adapter that was asked for counts as in demand.
 	adapterMemory = 20 * time.Second
 )
@@ -181,15 +184,16 @@
 	return counts
 }
 
-// others returns the requests of all hosts but one at each upstream.
-func (b *demandBook) others(host string) []RunningCount {
+// others returns the requests of all hosts but one at each upstream where they
+// take a part of the batch that is worth a detour. Slots returns the batch.
+func (b *demandBook) others(host string, slots func(upstream string) int) []RunningCount {
 	own := map[string]int{}
 	for _, r := range b.hosts[host].running {
 		own[r.Upstream] += r.Count
 	}
 	var counts []RunningCount
 	for upstream, count := range b.atUpstream {
-		if rest := count - own[upstream]; rest > 0 {
+		if rest := count - own[upstream]; rest > slots(upstream)/unnoticedParts {
 			counts = append(counts, RunningCount{Upstream: upstream, Count: rest})
 		}
 	}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -133,6 +134,14 @@
 	return view
 }
 
+// asEntry reports whether a view says what the engine's entry says.
+func (e *engineState) asEntry(view EngineView) bool {
+	entry := e.upstream.Holdings.Models
+	return len(view.Ready) == len(entry) && maps.EqualFunc(view.Ready, entry, func(a, b []string) bool {
+		return len(a) == len(b) && !slices.ContainsFunc(a, func(adapter string) bool { return !slices.Contains(b, adapter) })
+	})
+}
+
 // planned returns the planner's view of the engine.
 func (e *engineState) planned(now time.Duration, running map[string]int) *Engine {
 	engine := &Engine{
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -39,7 +39,8 @@
 	}
 }
 
-// refresh takes over the engines that changed.
+// refresh takes over the engines that changed. An engine that was never told of
+// and is as its entry says need not be told of: hosts have the entries.
 func (b *viewBook) refresh(fleet map[string]*engineState) {
 	for id, engine := range fleet {
 		if !engine.changed {
@@ -47,7 +48,8 @@
 		}
 		engine.changed = false
 		view := engine.view()
-		if known, ok := b.engines[id]; ok && reflect.DeepEqual(known.view, view) {
+		known, told := b.engines[id]
+		if told && reflect.DeepEqual(known.view, view) || !told && engine.asEntry(view) {
 			continue
 		}
 		b.version++
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -22,6 +22,9 @@
 	// with each further failure up to maxPenalty.
 	firstPenalty = 500 * time.Millisecond
 	maxPenalty   = 4 * time.Second
+	// quietRows is the number of rows that are read at once beyond which new
+	// upstreams get one line in the log together.
+	quietRows = 32
 	// absentFor is how long an engine is not asked for what it said it lacks.
 	absentFor = 400 * time.Millisecond
 	// failureWeight is the weight of a new outcome in an upstream's failure rate.
@@ -99,10 +102,12 @@
 	present := map[string]bool{}
 	for _, row := range rows {
 		present[row.Key] = true
-		d.applyRow(row, now, full)
+		d.applyRow(row, now, full || len(rows) > quietRows)
+	}
+	if full || len(rows) > quietRows {
+		d.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(d.entries), "full", full)
 	}
 	if full {
-		d.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(d.entries))
 		for id := range d.entries {
 			if !present[id] {
 				d.remove(id, now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,9 +22,12 @@
 	exchangeEvery = 200 * time.Millisecond
 	exchangeBusy  = 80 * time.Millisecond
 	// exchangePerHost and busyPerHost stretch the periods in large fleets, as all
-	// hosts ask the same coordinator.
+	// hosts ask the same coordinator, up to exchangeSlow and busySlow: hosts that
+	// are not heard for longer live on their shares.
 	exchangePerHost = 6 * time.Millisecond
+	exchangeSlow    = 400 * time.Millisecond
 	busyPerHost     = 2500 * time.Microsecond
+	busySlow        = 250 * time.Millisecond
 	// exchangeGap is the least time between two exchanges.
 	exchangeGap = 40 * time.Millisecond
 	// exchangeTimeout bounds an exchange.
@@ -101,19 +104,24 @@
 }
 
 func (e *exchanger) pause(ctx context.Context, begun time.Time) {
-	hosts := time.Duration(e.hosts.Load())
-	period := max(exchangeEvery, hosts*exchangePerHost)
-	if e.waiting.any() {
-		period = max(exchangeBusy, hosts*busyPerHost)
-	}
+	period := exchangePeriod(int(e.hosts.Load()), e.waiting.any())
 	timer := time.NewTimer(period - min(period, time.Since(begun)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-e.wake:
-		clock.Sleep(ctx, max(exchangeGap, hosts*busyPerHost/2))
+		clock.Sleep(ctx, max(exchangeGap, exchangePeriod(int(e.hosts.Load()), true)/2))
+	}
+}
+
+// exchangePeriod returns the time between two exchanges in a fleet of hosts.
+// Waiting says that requests wait for an answer.
+func exchangePeriod(hosts int, waiting bool) time.Duration {
+	if waiting {
+		return max(exchangeBusy, min(time.Duration(hosts)*busyPerHost, busySlow))
 	}
+	return max(exchangeEvery, min(time.Duration(hosts)*exchangePerHost, exchangeSlow))
 }
 
 // once makes one exchange.
@@ -158,7 +166,7 @@
 		// A replica that is ahead, because this host asked the table service
 		// itself, needs no further call either.
 		replica.Accept(update, asked)
-		fresh := update.Revision >= 0 && time.Duration(update.AgeMS)*time.Millisecond < oldest
+		fresh := update.Revision >= 0 && !update.Partial && time.Duration(update.AgeMS)*time.Millisecond < oldest
 		confirmed = ok && fresh && confirmed
 	}
 	if confirmed {
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"testing"
 	"time"
 
@@ -52,3 +53,20 @@
 		}
 	}
 }
+
+// Hosts of a large fleet asked so rarely that they counted as cut off between two
+// exchanges: 300 hosts lived on their shares and read the store's tables themselves
+// (sweep of tokachi-seedvault-grown, served 0.21).
+func TestExchangesOfLargeFleets(t *testing.T) {
+	for hosts := range 2000 {
+		for _, waiting := range []bool{false, true} {
+			period := exchangePeriod(hosts, waiting)
+			if period > exchangeSlow || period < exchangeBusy {
+				t.Fatalf("%v between exchanges of %d hosts", period, hosts)
+			}
+			if period+exchangeGap >= reachedFor || period+exchangeGap >= allowance.SilentAfter {
+				t.Fatalf("%d hosts count as cut off between two exchanges", hosts)
+			}
+		}
+	}
+}
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -33,8 +33,8 @@
 	retryPause = 200 * time.Millisecond
 	// neededPause separates the checks whether the table service must be asked.
 	neededPause = 100 * time.Millisecond
-	// readTimeout bounds a read of a whole table.
-	readTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a read of a whole table, which takes many calls.
+	readTimeout = 10 * time.Second
 	// watchSlack is the time that a watch may answer late.
 	watchSlack = 900 * time.Millisecond
 )
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -9,15 +10,22 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 )
 
-// keptDeletions is the number of deletions that a replica remembers for those
-// who follow it.
-const keptDeletions = 512
+const (
+	// keptDeletions is the number of deletions that a replica remembers for those
+	// who follow it.
+	keptDeletions = 4096
+	// mostRows bounds the rows of an update, so that it passes a slow link in a
+	// fraction of a second.
+	mostRows = 256
+)
 
 // Update is what a replica tells another one.
 type Update struct {
 	Full     bool  `json:"full,omitempty"` // the rows are the whole table
 	Rows     []Row `json:"rows,omitempty"`
 	Revision int64 `json:"revision"`
+	// Partial says that further rows follow, so that the content is not confirmed.
+	Partial bool `json:"partial,omitempty"`
 	// AgeMS is the time since the call to the table service began that
 	// confirmed the content, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
@@ -70,7 +78,9 @@
 	return r.revision
 }
 
-// Since returns what a replica at a revision (-1: an empty one) lacks.
+// Since returns what a replica at a revision (-1: an empty one) lacks, or the
+// first part of it. The revision of the update is -1 if this replica can't tell:
+// the other one has to ask the table service.
 func (r *Replica) Since(after int64) Update {
 	now := clock.SinceBoot()
 	r.mu.Lock()
@@ -80,21 +90,46 @@
 	}
 	update := Update{Revision: r.revision, AgeMS: r.age(now).Milliseconds() + 1}
 	if after < r.floor {
+		if len(r.rows) > mostRows {
+			return Update{Revision: -1}
+		}
 		update.Full = true
 		update.Rows = slices.Collect(maps.Values(r.rows))
 		return update
 	}
+	update.Rows = r.after(after)
+	if len(update.Rows) > mostRows {
+		update.Rows = firstRows(update.Rows)
+		update.Partial = true
+		update.Revision = update.Rows[len(update.Rows)-1].Revision
+	}
+	return update
+}
+
+// after returns the rows and deletions that are newer than a revision.
+func (r *Replica) after(revision int64) []Row {
+	var rows []Row
 	for _, row := range r.rows {
-		if row.Revision > after {
-			update.Rows = append(update.Rows, row)
+		if row.Revision > revision {
+			rows = append(rows, row)
 		}
 	}
 	for _, row := range r.deletions {
-		if row.Revision > after {
-			update.Rows = append(update.Rows, row)
+		if row.Revision > revision {
+			rows = append(rows, row)
 		}
 	}
-	return update
+	return rows
+}
+
+// firstRows returns the oldest changes. Those of one revision stay together.
+func firstRows(rows []Row) []Row {
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
+	end := mostRows
+	for end < len(rows) && rows[end].Revision == rows[end-1].Revision {
+		end++
+	}
+	return rows[:end]
 }
 
 // Accept takes over what another replica told in answer to a question that was
@@ -104,6 +139,9 @@
 		return false
 	}
 	confirmed := asked - time.Duration(update.AgeMS)*time.Millisecond
+	if update.Partial {
+		confirmed = 0
+	}
 	r.Take(Page{Rows: update.Rows, Revision: update.Revision}, update.Full, confirmed)
 	return true
 }
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -94,3 +95,43 @@
 		t.Errorf("update %+v, want no rows at revision 2", update)
 	}
 }
+
+// entries returns rows with one revision each, from first to last.
+func entries(first, last int64) []Row {
+	var rows []Row
+	for revision := first; revision <= last; revision++ {
+		rows = append(rows, Row{Key: fmt.Sprintf("k%d", revision), Value: []byte("v"), Revision: revision})
+	}
+	return rows
+}
+
+// Guards against updates that do not pass a slow link within the time of an
+// exchange, after which the host has neither the update nor the exchange.
+func TestLargeUpdatesComeInParts(t *testing.T) {
+	now := clock.SinceBoot()
+	var source, copied Replica
+	source.Take(Page{Rows: entries(1, 10), Revision: 10}, true, now)
+	copied.Take(Page{Rows: entries(1, 10), Revision: 10}, true, now-time.Hour)
+	source.Take(Page{Rows: entries(11, 700), Revision: 700}, false, now)
+	source.Take(Page{Rows: []Row{{Key: "k3", Revision: 701, Deleted: true}}, Revision: 701}, false, now)
+	parts := 0
+	for copied.Revision() < source.Revision() {
+		update := source.Since(copied.Revision())
+		if len(update.Rows) > mostRows || update.Partial != (update.Revision < 701) {
+			t.Fatalf("part %d: %d rows up to %d, partial %v", parts, len(update.Rows), update.Revision, update.Partial)
+		}
+		if copied.Accept(update, now); update.Partial && copied.Age() < time.Hour {
+			t.Fatal("a part confirms the whole")
+		}
+		parts++
+	}
+	if parts != 3 || copied.Age() > time.Minute {
+		t.Errorf("%d parts, age %v", parts, copied.Age())
+	}
+	if rows := copied.Since(-1); rows.Revision != -1 {
+		t.Errorf("a whole table of 699 rows is relayed: %d rows", len(rows.Rows))
+	}
+	if got, want := len(copied.rows), 699; got != want {
+		t.Errorf("%d rows, want %d", got, want)
+	}
+}
