Make an exchange and a plan cheaper in large fleets

Cause: at 300 hosts and 3,000 engines each exchange looked at all rows of the relayed tables, all engines and all busy upstreams, and named all 16 workspaces; a new coordinator read 3,000 reports at once while hosts waited for it. Change: replicas keep a log of changes; views and counts are collected once per period; workspaces without a need are left out of an exchange and shares follow from the number of hosts; plans come less often in large fleets; at most 40 reports are read at a time.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -67,8 +67,11 @@
 			continue
 		}
 		f.ledger.Hear(f.now, host)
-		needs := bank.Needs(f.now, workspaces)
-		bank.Apply(f.now, map[string]Grant{"w": f.ledger.Exchange(f.now, host, workspace, needs["w"])})
+		grants := map[string]Grant{}
+		for name, need := range bank.Needs(f.now, workspaces) {
+			grants[name] = f.ledger.Exchange(f.now, host, workspace, need)
+		}
+		bank.Apply(f.now, Shares(workspaces, len(f.ledger.Hosts())), grants)
 	}
 }
 
@@ -276,7 +279,7 @@
 	ledger.Hear(0, "other")
 	ledger.Exchange(0, "other", workspace, Need{})
 	bank := NewBank()
-	bank.Apply(0, map[string]Grant{"w": {Share: workspace.PerS / 2}})
+	bank.Apply(0, map[string]float64{"w": workspace.PerS / 2}, nil)
 	const passed = time.Second
 	bank.Take(passed, workspace, 0) // pays the share
 	ledger.Hear(passed, "other")
@@ -339,7 +342,7 @@
 
 func TestRefundCanBeSpentAgain(t *testing.T) {
 	bank := NewBank()
-	bank.Apply(time.Second, map[string]Grant{"w": {Amount: 100}})
+	bank.Apply(time.Second, map[string]float64{"w": 0}, map[string]Grant{"w": {Amount: 100}})
 	if bank.Take(time.Second, workspace, 100) != Taken {
 		t.Fatal("not taken")
 	}
@@ -351,3 +354,40 @@
 		t.Error("the refund is not available")
 	}
 }
+
+// Each exchange named all workspaces, of which a host needs few: in a fleet of 300
+// hosts these were most of the bytes of an exchange.
+func TestNeedsLeaveOutIdleWorkspaces(t *testing.T) {
+	workspaces := map[string]*catalog.Workspace{}
+	for i := range 16 {
+		name := fmt.Sprintf("w%d", i)
+		workspaces[name] = &catalog.Workspace{Name: name, PerS: 1000, Burst: 1000}
+	}
+	bank, ledger := NewBank(), NewLedger(0, true, nil)
+	exchange := func(now time.Duration) (needs int) {
+		ledger.Hear(now, "h")
+		grants := map[string]Grant{}
+		for name, need := range bank.Needs(now, workspaces) {
+			grants[name] = ledger.Exchange(now, "h", workspaces[name], need)
+			needs++
+		}
+		bank.Apply(now, Shares(workspaces, 1), grants)
+		return needs
+	}
+	exchange(0) // the shares become known
+	if needs := exchange(200 * time.Millisecond); needs != 16 {
+		t.Errorf("%d needs, want the first stock of all", needs)
+	}
+	if needs := exchange(400 * time.Millisecond); needs != 0 {
+		t.Errorf("%d needs without a request", needs)
+	}
+	if bank.Take(500*time.Millisecond, workspaces["w3"], 200) != Taken {
+		t.Error("the stock is not there")
+	}
+	if needs := exchange(600 * time.Millisecond); needs != 1 {
+		t.Errorf("%d needs, want that of w3", needs)
+	}
+	if status := bank.Status(time.Second, workspaces["w7"]); status.Age != 400*time.Millisecond || status.Share != 1000 {
+		t.Errorf("w7, which was left out: %+v", status)
+	}
+}
--- a/internal/allowance/bank.go
+++ b/internal/allowance/bank.go
@@ -123,8 +123,8 @@
 	b.account(w.Name, now).balance += cost
 }
 
-// Needs returns what to ask for and what to give back, and settles the
-// latter. It is called right before an exchange.
+// Needs returns what to ask for and what to give back, and settles the latter.
+// Workspaces without either are left out. It is called right before an exchange.
 func (b *Bank) Needs(now time.Duration, workspaces map[string]*catalog.Workspace) map[string]Need {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -145,7 +145,9 @@
 			need.Returned = a.balance - target
 			a.balance = target
 		}
-		needs[w.Name] = need
+		if need != (Need{}) {
+			needs[w.Name] = need
+		}
 	}
 	return needs
 }
@@ -189,14 +191,14 @@
 	b.changed = make(chan struct{})
 }
 
-// Apply takes over the grants of an exchange.
-func (b *Bank) Apply(now time.Duration, grants map[string]Grant) {
+// Apply takes over the grants of an exchange, and the shares to live on after it.
+func (b *Bank) Apply(now time.Duration, shares map[string]float64, grants map[string]Grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, grant := range grants {
-		a := b.account(name, now)
+	for name, share := range shares {
+		a, grant := b.account(name, now), grants[name]
 		a.balance += grant.Amount
-		a.share, a.shareAt, a.shareOn = grant.Share, now, false
+		a.share, a.shareAt, a.shareOn = share, now, false
 		a.shortage = grant.Exhausted
 		a.paid -= a.told
 		a.told = 0
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -38,9 +38,6 @@
 // Grant is the coordinator's side of an exchange, for one workspace.
 type Grant struct {
 	Amount float64 `json:"amount"`
-	// Share is the rate on which the host may live without the coordinator,
-	// for at most ShareValid.
-	Share float64 `json:"share"`
 	// Exhausted says that the workspace asks for more than it has.
 	Exhausted bool `json:"exhausted,omitempty"`
 }
@@ -154,10 +151,19 @@
 	amount = max(0, min(amount, b.level))
 	b.level -= amount
 	b.wants[host] = want{amount: need.Want - amount, at: now}
-	return Grant{
-		Amount: amount, Share: w.PerS / float64(max(1, len(l.heard))),
-		Exhausted: missing > refill*exhaustedSeconds,
+	return Grant{Amount: amount, Exhausted: missing > refill*exhaustedSeconds}
+}
+
+// Shares returns the rates on which each of the hosts may live without the
+// coordinator, for at most ShareValid, by workspace.
+func Shares(workspaces map[string]*catalog.Workspace, hosts int) map[string]float64 {
+	shares := map[string]float64{}
+	for name, w := range workspaces {
+		if w.Limited() {
+			shares[name] = w.PerS / float64(max(1, hosts))
+		}
 	}
+	return shares
 }
 
 // unmet returns what other hosts wanted a moment ago and were not granted.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,8 +14,15 @@
 )
 
 const (
-	// planEvery is the period of planning.
-	planEvery = 60 * time.Millisecond
+	// planEvery is the period of planning, and planPerEngine stretches it in large
+	// fleets, as a plan looks at each engine.
+	planEvery     = 60 * time.Millisecond
+	planPerEngine = 50 * time.Microsecond
+	// viewEvery is the shortest period at which changes of engines are collected.
+	viewEvery = 20 * time.Millisecond
+	// mostReports bounds the reports that are read at a time, so that a new
+	// coordinator of a large fleet can answer the hosts meanwhile.
+	mostReports = 40
 	// swapTime is the time, beside the load itself, until a model that is to
 	// replace another one can serve.
 	swapTime = 700 * time.Millisecond
@@ -64,6 +71,8 @@
 	fleet       map[string]*engineState // by upstream ID
 	views       viewBook
 	lostRuns    lostRunBook
+	reading     int            // reports that are being read
+	loads       []RunningCount // requests worth telling, of all hosts
 	storeStarts []time.Duration
 	estimates   []Estimate
 	stewards    []Steward
@@ -126,10 +135,11 @@
 	if config != nil {
 		reply.Grants = c.grants(now, config, request)
 	}
-	reply.View = c.views.since(c.fleet, request.Epoch == epoch, request.ViewVersion)
+	c.views.refresh(now, c.fleet)
+	reply.View = c.views.since(request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
 	reply.Quarantined = c.lostRuns.refused()
-	reply.Running = c.demand.others(request.Host, c.slots)
+	reply.Running = c.demand.others(request.Host, c.loads)
 	reply.Stewards = c.stewards
 	return reply
 }
@@ -169,21 +179,22 @@
 
 // Run plans and gives orders while this host holds the lease.
 func (c *Coordinator) Run(ctx context.Context) {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
 	defer c.actions.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, c.planPeriod())
 		if c.lease.Held() {
 			c.tick(ctx)
 		}
 	}
 }
 
+// planPeriod returns the time between two plans.
+func (c *Coordinator) planPeriod() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(planEvery, time.Duration(len(c.fleet))*planPerEngine)
+}
+
 func (c *Coordinator) tick(ctx context.Context) {
 	config := c.knowledge.Config()
 	if config == nil {
@@ -197,6 +208,7 @@
 	c.demand.forget(now)
 	c.lostRuns.forget(now)
 	c.stewards = c.demand.stewards(c.host)
+	c.loads = c.demand.noticed(c.slots)
 	c.observe(now, upstreams, config)
 	c.noteUnreachable()
 	c.ask(ctx, now)
@@ -252,10 +264,14 @@
 // ask reads the reports of engines whose content is not known.
 func (c *Coordinator) ask(ctx context.Context, now time.Duration) {
 	for _, engine := range c.fleet {
+		if c.reading >= mostReports {
+			return // the next round comes soon
+		}
 		if engine.settled() || engine.occupied || engine.asking || engine.upstream.Leaving || now < engine.retryAt {
 			continue
 		}
 		engine.asking = true
+		c.reading++
 		c.actions.Add(1)
 		go func() {
 			defer c.actions.Done()
@@ -263,6 +279,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			engine.asking = false
+			c.reading--
 			if engine.doubted {
 				engine.doubted = false
 				engine.nextAsk = clock.SinceBoot() + askPause
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -407,7 +407,8 @@
 	}
 	book.note(0, &ExchangeRequest{Host: "h1", Running: counts(1, 2, 9)})
 	book.note(0, &ExchangeRequest{Host: "h2", Running: counts(1, 1, 1)})
-	told := book.others("h2", func(id string) int { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id] })
+	slots := func(id string) int { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id] }
+	told := book.others("h2", book.noticed(slots))
 	slices.SortFunc(told, func(a, b RunningCount) int { return strings.Compare(a.Upstream, b.Upstream) })
 	if want := []RunningCount{{Upstream: "e1", Count: 2}, {Upstream: "e2", Count: 9}}; !slices.Equal(told, want) {
 		t.Errorf("told %+v, want %+v", told, want)
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -184,18 +184,29 @@
 	return counts
 }
 
-// others returns the requests of all hosts but one at each upstream where they
-// take a part of the batch that is worth a detour. Slots returns the batch.
-func (b *demandBook) others(host string, slots func(upstream string) int) []RunningCount {
+// noticed returns the requests at each upstream where they take a part of the
+// batch that is worth a detour. Slots returns the batch.
+func (b *demandBook) noticed(slots func(upstream string) int) []RunningCount {
+	var counts []RunningCount
+	for upstream, count := range b.atUpstream {
+		if count > slots(upstream)/unnoticedParts {
+			counts = append(counts, RunningCount{Upstream: upstream, Count: count})
+		}
+	}
+	return counts
+}
+
+// others returns what is left of counts without a host's own requests.
+func (b *demandBook) others(host string, counts []RunningCount) []RunningCount {
 	own := map[string]int{}
 	for _, r := range b.hosts[host].running {
 		own[r.Upstream] += r.Count
 	}
-	var counts []RunningCount
-	for upstream, count := range b.atUpstream {
-		if rest := count - own[upstream]; rest > slots(upstream)/unnoticedParts {
-			counts = append(counts, RunningCount{Upstream: upstream, Count: rest})
+	var rest []RunningCount
+	for _, r := range counts {
+		if count := r.Count - own[r.Upstream]; count > 0 {
+			rest = append(rest, RunningCount{Upstream: r.Upstream, Count: count})
 		}
 	}
-	return counts
+	return rest
 }
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -1,6 +1,9 @@
 package coordinator
 
-import "reflect"
+import (
+	"reflect"
+	"time"
+)
 
 // keptRemovals is the number of removed engines that a view remembers.
 const keptRemovals = 256
@@ -8,10 +11,11 @@
 // viewBook numbers the changes of the engines' views, so that hosts are told
 // only what they lack. It is used by one goroutine at a time.
 type viewBook struct {
-	version  int64
-	engines  map[string]numberedView
-	removals []removal
-	floor    int64 // removals up to here are forgotten
+	version   int64
+	refreshed time.Duration // when changes were last collected
+	engines   map[string]numberedView
+	removals  []removal
+	floor     int64 // removals up to here are forgotten
 }
 
 type numberedView struct {
@@ -41,7 +45,11 @@
 
 // refresh takes over the engines that changed. An engine that was never told of
 // and is as its entry says need not be told of: hosts have the entries.
-func (b *viewBook) refresh(fleet map[string]*engineState) {
+func (b *viewBook) refresh(now time.Duration, fleet map[string]*engineState) {
+	if now-b.refreshed < viewEvery {
+		return
+	}
+	b.refreshed = now
 	for id, engine := range fleet {
 		if !engine.changed {
 			continue
@@ -59,8 +67,7 @@
 
 // since returns what a host at a version lacks, nil if nothing. Known says that
 // the version is one of this book.
-func (b *viewBook) since(fleet map[string]*engineState, known bool, version int64) *View {
-	b.refresh(fleet)
+func (b *viewBook) since(known bool, version int64) *View {
 	full := !known || version < b.floor || version > b.version
 	if !full && version == b.version {
 		return nil
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -200,12 +200,16 @@
 	return patience - time.Since(d.begun) - runTime
 }
 
-// timedOut is the answer when time is up or the caller has left.
+// timedOut is the answer when time is up or the caller has left, who gets none.
 func (d *dispatcher) timedOut() *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetry}
 	if d.runs > 0 {
-		return &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
+		r = &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetry}
+	if d.http.Context().Err() != nil {
+		r.reason = reasonCallerGone
+	}
+	return r
 }
 
 // send makes one send. Again says that another one is to be tried.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -149,7 +149,9 @@
 	e.waiting.hear(time.Now(), reply.Estimates)
 	e.directory.ApplyExchange(reply)
 	e.crashes.apply(reply.Quarantined)
-	e.bank.Apply(now, reply.Grants)
+	if config := e.config(); config != nil {
+		e.bank.Apply(now, allowance.Shares(config.Workspaces, reply.Hosts), reply.Grants)
+	}
 	e.pooling.hear(reply.Stewards, reply.Hosts)
 	return nil
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -185,7 +185,7 @@
 		timer.Stop()
 		done()
 		if e.http.Context().Err() != nil {
-			return &refusal{status: http.StatusServiceUnavailable, reason: "caller gone"}
+			return &refusal{status: http.StatusServiceUnavailable, reason: reasonCallerGone}
 		}
 	}
 }
--- a/internal/gateway/pooling_test.go
+++ b/internal/gateway/pooling_test.go
@@ -31,7 +31,7 @@
 func silentHost(t *testing.T, name, address string) *pooling {
 	t.Helper()
 	bank := allowance.NewBank()
-	bank.Apply(clock.SinceBoot()-time.Second, map[string]allowance.Grant{"w": {Share: poolShare}})
+	bank.Apply(clock.SinceBoot()-time.Second, map[string]float64{"w": poolShare}, nil)
 	settings := &Settings{Host: name, DataCenter: "z1", PeerListen: address}
 	return newPooling(settings, logr.Discard(), bank, poolConfig, &coordinator.Client{})
 }
@@ -105,7 +105,7 @@
 // A host that the coordinator answers does not give its stock away.
 func TestNoPoolWithCoordinator(t *testing.T) {
 	host := silentHost(t, "a", "a:1")
-	host.bank.Apply(clock.SinceBoot(), map[string]allowance.Grant{"w": {Amount: poolCost, Share: poolShare}})
+	host.bank.Apply(clock.SinceBoot(), map[string]float64{"w": poolShare}, map[string]allowance.Grant{"w": {Amount: poolCost}})
 	host.hear([]coordinator.Steward{{Address: serveSteward(t), DataCenter: "z1"}}, 6)
 	host.once(context.Background())
 	if host.bank.Take(clock.SinceBoot(), poolWorkspace, poolCost) != allowance.Taken {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -10,6 +10,9 @@
 	statusBrokenOff  = 1
 )
 
+// reasonCallerGone is the reason in the log where the caller has left.
+const reasonCallerGone = "caller gone"
+
 // record collects what the log says about a request.
 type record struct {
 	status   int
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -11,9 +12,9 @@
 )
 
 const (
-	// keptDeletions is the number of deletions that a replica remembers for those
-	// who follow it.
-	keptDeletions = 4096
+	// keptChanges is the number of changes that a replica remembers for those who
+	// follow it.
+	keptChanges = 8192
 	// mostRows bounds the rows of an update, so that it passes a slow link in a
 	// fraction of a second.
 	mostRows = 256
@@ -44,12 +45,18 @@
 	mu        sync.Mutex
 	loaded    bool
 	rows      map[string]Row
-	deletions []Row
-	floor     int64 // deletions up to here are forgotten
+	changes   []change // in the order of revisions
+	floor     int64    // changes up to here are forgotten
 	revision  int64
 	confirmed time.Duration // on the clock that includes suspension; 0: never
 }
 
+// change says that a row was written or deleted.
+type change struct {
+	key      string
+	revision int64
+}
+
 // never is the age of a replica that was never confirmed.
 const never = time.Duration(1 << 62)
 
@@ -108,16 +115,18 @@
 
 // after returns the rows and deletions that are newer than a revision.
 func (r *Replica) after(revision int64) []Row {
-	var rows []Row
-	for _, row := range r.rows {
-		if row.Revision > revision {
-			rows = append(rows, row)
-		}
+	first := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].revision > revision })
+	newest := make(map[string]int64, len(r.changes)-first)
+	for _, c := range r.changes[first:] {
+		newest[c.key] = c.revision
 	}
-	for _, row := range r.deletions {
-		if row.Revision > revision {
-			rows = append(rows, row)
+	rows := make([]Row, 0, len(newest))
+	for key, at := range newest {
+		row, ok := r.rows[key]
+		if !ok {
+			row = Row{Key: key, Revision: at, Deleted: true}
 		}
+		rows = append(rows, row)
 	}
 	return rows
 }
@@ -170,7 +179,7 @@
 	for _, row := range page.Rows {
 		r.rows[row.Key] = row
 	}
-	r.deletions = nil
+	r.changes = nil
 	r.floor = page.Revision
 	return page.Rows
 }
@@ -184,21 +193,26 @@
 			continue
 		case row.Deleted:
 			delete(r.rows, row.Key)
-			r.remember(row)
 		case ok && r.Same != nil && r.Same(known.Value, row.Value):
 			continue
 		default:
 			r.rows[row.Key] = row
 		}
 		changed = append(changed, row)
+		r.remember(row)
 	}
 	return changed
 }
 
+// remember notes a change, in the order of revisions: the parts of an update of
+// another replica are not sorted.
 func (r *Replica) remember(row Row) {
-	r.deletions = append(r.deletions, row)
-	if len(r.deletions) > keptDeletions {
-		r.floor = r.deletions[0].Revision
-		r.deletions = r.deletions[1:]
+	r.changes = append(r.changes, change{row.Key, row.Revision})
+	for i := len(r.changes) - 1; i > 0 && r.changes[i].revision < r.changes[i-1].revision; i-- {
+		r.changes[i], r.changes[i-1] = r.changes[i-1], r.changes[i]
+	}
+	if excess := len(r.changes) - keptChanges; excess > 0 {
+		r.floor = r.changes[excess-1].revision
+		r.changes = r.changes[excess:]
 	}
 }
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -78,7 +78,7 @@
 	var source Replica
 	now := clock.SinceBoot()
 	source.Take(Page{Rows: []Row{rowOf("a", "1", 1)}, Revision: 1}, true, now)
-	for i := range int64(keptDeletions + 5) {
+	for i := range int64(keptChanges + 5) {
 		source.Take(Page{Rows: []Row{{Key: "x", Revision: 2 + i, Deleted: true}}, Revision: 2 + i}, false, now)
 	}
 	if update := source.Since(2); !update.Full {
