--- /dev/null
+++ b/internal/coordinator/encoding.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"storj.io/drpc"
+)
+
+const (
+	// compressFrom is the size of a message, in bytes, from which it is compressed:
+	// links between data centres are dear, and small messages gain little.
+	compressFrom = 1 << 10
+	// compressedMark is the first byte of a compressed message; others begin with
+	// a brace.
+	compressedMark = 0x01
+	// maxMessageBytes bounds a message after decompression.
+	maxMessageBytes = 64 << 20
+)
+
+// encoding writes the messages between hosts as JSON, large ones compressed.
+type encoding struct{}
+
+var deflaters = sync.Pool{New: func() any {
+	writer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	return writer
+}}
+
+// MessageTooLargeError reports a message beyond maxMessageBytes.
+type MessageTooLargeError struct{ Bytes int }
+
+// Error implements error.
+func (e *MessageTooLargeError) Error() string {
+	return fmt.Sprintf("message of more than %d bytes", e.Bytes)
+}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(message drpc.Message) ([]byte, error) {
+	data, err := json.Marshal(message)
+	if err != nil || len(data) < compressFrom {
+		return data, err
+	}
+	return deflate(data)
+}
+
+func deflate(data []byte) ([]byte, error) {
+	compressed := bytes.NewBuffer(make([]byte, 0, len(data)/2))
+	compressed.WriteByte(compressedMark)
+	writer := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(writer)
+	writer.Reset(compressed)
+	if _, err := writer.Write(data); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return compressed.Bytes(), nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(data []byte, message drpc.Message) error {
+	if len(data) > 0 && data[0] == compressedMark {
+		inflated, err := inflate(data[1:])
+		if err != nil {
+			return err
+		}
+		data = inflated
+	}
+	return json.Unmarshal(data, message)
+}
+
+func inflate(data []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(data))
+	inflated, err := io.ReadAll(io.LimitReader(reader, maxMessageBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(inflated) > maxMessageBytes {
+		return nil, &MessageTooLargeError{Bytes: maxMessageBytes}
+	}
+	return inflated, reader.Close()
+}
--- a/internal/coordinator/rpc.go
+++ b/internal/coordinator/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"sync"
@@ -23,17 +22,6 @@
 // dialTimeout bounds a connection to another host.
 const dialTimeout = 300 * time.Millisecond
 
-// encoding writes the messages as JSON: they are small and few.
-type encoding struct{}
-
-// Marshal implements drpc.Encoding.
-func (encoding) Marshal(message drpc.Message) ([]byte, error) { return json.Marshal(message) }
-
-// Unmarshal implements drpc.Encoding.
-func (encoding) Unmarshal(data []byte, message drpc.Message) error {
-	return json.Unmarshal(data, message)
-}
-
 // UnknownCallError reports a call that this version does not know.
 type UnknownCallError struct{ Call string }
 
