Split the gateway's start, side servers and health, and the planner's evictions, into files of their own

Change: run.go (start, followers, shutdown), side.go (readiness, metrics, state dump), health.go (outcomes and absences), room.go (memory and evictions); constants stand with their code. No change of behaviour.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -18,31 +18,14 @@
 	// returnGrace is how long a missing entry is waited for after the table
 	// service was unavailable: entries lapse then and come back.
 	returnGrace = 2 * time.Second
-	// firstPenalty is how long an upstream that failed is avoided; it doubles
-	// with each further failure up to maxPenalty.
-	firstPenalty = 500 * time.Millisecond
-	maxPenalty   = 4 * time.Second
 	// quietRows is the number of rows that are read at once beyond which new
 	// upstreams get one line in the log together.
 	quietRows = 32
-	// absentFor is how long an engine is not asked for what it said it lacks.
-	absentFor = 400 * time.Millisecond
-	// failureWeight is the weight of a new outcome in an upstream's failure rate.
-	failureWeight = 0.2
 )
 
 // DecodeUpstream decodes the row of an upstream.
 type DecodeUpstream func(row table.Row) (*catalog.Upstream, error)
 
-// health is what this host has seen of an upstream.
-type health struct {
-	avoidUntil time.Time
-	penalty    time.Duration
-	failures   float64 // rate of failed requests, 0 to 1
-	// unreachable says that the last connection could not be opened.
-	unreachable bool
-}
-
 // runningKey names the requests of a model and adapter at an upstream.
 type runningKey struct{ upstream, model, adapter string }
 
@@ -262,20 +245,6 @@
 	return counts
 }
 
-// Unreachable returns the upstreams that this host does not reach.
-func (d *Directory) Unreachable() []string {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var ids []string
-	for id, h := range d.health {
-		if h.unreachable && now.Before(h.avoidUntil.Add(firstPenalty)) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Enter counts a request at an upstream until the returned function is called.
 func (d *Directory) Enter(id, model, adapter string) (leave func()) {
 	key := runningKey{id, model, adapter}
@@ -292,41 +261,6 @@
 	}
 }
 
-// Report notes the outcome of a request at an upstream.
-func (d *Directory) Report(id string, outcome Outcome) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	h := d.health[id]
-	if h == nil {
-		h = &health{}
-		d.health[id] = h
-	}
-	failed := 0.0
-	if outcome != OutcomeServed {
-		failed = 1
-	}
-	h.failures += failureWeight * (failed - h.failures)
-	switch outcome {
-	case OutcomeServed:
-		h.penalty, h.avoidUntil, h.unreachable = 0, time.Time{}, false
-	case OutcomeUnreachable, OutcomeBroken:
-		h.unreachable = outcome == OutcomeUnreachable
-		h.penalty = min(max(2*h.penalty, firstPenalty), maxPenalty)
-		h.avoidUntil = time.Now().Add(h.penalty)
-	}
-}
-
-// Outcome is how a request at an upstream ended.
-type Outcome uint8
-
-// Outcomes of a request.
-const (
-	OutcomeServed      Outcome = iota
-	OutcomeFailed              // answered with a failure, or with a broken answer
-	OutcomeBroken              // the connection broke
-	OutcomeUnreachable         // no connection
-)
-
 // NoteAdapter records an adapter that the coordinator has just had loaded.
 func (d *Directory) NoteAdapter(id, model, adapter string) {
 	d.mu.Lock()
@@ -342,34 +276,3 @@
 		d.engines[id] = view
 	}
 }
-
-// NoteAbsent records that an engine said that it lacks a model or adapter: it is
-// not asked again for a moment, and the coordinator is told to look.
-func (d *Directory) NoteAbsent(id, model, adapter string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.absent[runningKey{id, model, adapter}] = time.Now().Add(absentFor)
-}
-
-// Doubts returns the engines that lack what the view says.
-func (d *Directory) Doubts() []string {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var ids []string
-	for key, until := range d.absent {
-		if now.After(until) {
-			delete(d.absent, key)
-			continue
-		}
-		if !slices.Contains(ids, key.upstream) {
-			ids = append(ids, key.upstream)
-		}
-	}
-	return ids
-}
-
-// isAbsent reports whether an engine has just said that it lacks a model or adapter.
-func (d *Directory) isAbsent(id, model, adapter string, now time.Time) bool {
-	return now.Before(d.absent[runningKey{id, model, adapter}])
-}
--- /dev/null
+++ b/internal/gateway/side.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/arbutusbank/arbutusbank/internal/lease"
+)
+
+func (g *Gateway) serveSide(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	if err := server.Serve(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+		g.log.Error(err, "Side server ended.", "address", listener.Addr().String())
+	}
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	router := httprouter.New()
+	router.GET(g.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+func (g *Gateway) metricsHandler() http.Handler {
+	router := httprouter.New()
+	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{}))
+	router.GET("/state", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(g.State()); err != nil {
+			g.log.Info("State dump not written.", "error", err.Error())
+		}
+	})
+	return router
+}
+
+// State is the state dump of a host.
+type State struct {
+	Host          string       `json:"host"`
+	Ready         bool         `json:"ready"`
+	ConfigVersion int64        `json:"config_version"`
+	ConfigAgeMS   int64        `json:"config_age_ms"`
+	Lease         lease.Status `json:"lease"`
+	Reached       bool         `json:"coordinator_reached"`
+	InFlight      int64        `json:"requests_in_flight"`
+	ViewEpoch     int64        `json:"view_epoch"`
+	ViewVersion   int64        `json:"view_version"`
+	Upstreams     int          `json:"upstreams"`
+}
+
+// State returns the state dump.
+func (g *Gateway) State() State {
+	epoch, version := g.directory.ViewVersion()
+	return State{
+		Host: g.settings.Host, Ready: g.Ready(), ConfigVersion: g.config.version(), ConfigAgeMS: g.config.age().Milliseconds(),
+		Lease: g.keeper.Status(), Reached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
+		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.directory.Upstreams()),
+	}
+}
