--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,23 +59,31 @@
 
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
+// listen opens the host's addresses. It serves without metrics where theirs is taken.
 func (g *Gateway) listen() (listeners, error) {
 	var l listeners
 	for _, item := range []struct {
-		address string
-		into    *net.Listener
+		address  string
+		into     *net.Listener
+		optional bool
 	}{
-		{g.settings.Listen, &l.callers}, {g.settings.ReadyListen, &l.ready},
-		{g.settings.PeerListen, &l.peers}, {g.settings.MetricsListen, &l.metrics},
+		{address: g.settings.Listen, into: &l.callers},
+		{address: g.settings.ReadyListen, into: &l.ready},
+		{address: g.settings.PeerListen, into: &l.peers},
+		{address: g.settings.MetricsListen, into: &l.metrics, optional: true},
 	} {
 		if item.address == "" {
 			continue
 		}
 		listener, err := net.Listen("tcp", item.address)
-		if err != nil {
+		switch {
+		case err == nil:
+			*item.into = listener
+		case item.optional:
+			g.log.Error(&ListenError{Address: item.address, Cause: err}, "No metrics and no state dump.")
+		default:
 			return l, eris.Wrap(&ListenError{Address: item.address, Cause: err}, "start")
 		}
-		*item.into = listener
 	}
 	return l, nil
 }
