Let suspects that shared all crashes take turns

Hosts announce isolated runs to each other and wait a moment; when the machine is busy the announcements come too late, the guilty and an innocent request meet at one engine again and again, and shared crashes prove nothing. Change: of two suspects that shared all crashes to which one of them was sent alone, the one with the lower fingerprint runs first, for at most 4 s after the last crash: either it completes, or its crash is its own.

--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,10 @@
 // have been ended by a crash.
 const lostRunTime = 5 * time.Second
 
+// yieldTime is how long a suspect waits for another one to run first: the engine
+// restarts, and the request is sent again.
+const yieldTime = 4 * time.Second
+
 // Verdict says whether a request may run at an upstream now.
 type Verdict uint8
 
@@ -77,7 +82,7 @@
 	if !s.suspected(now, f) {
 		return Allowed, false
 	}
-	if s.isolated[f] != nil || s.suspectRunsAt(now, f, upstream) || s.peerInTheWay(now, f, upstream) {
+	if s.isolated[f] != nil || s.suspectRunsAt(now, f, upstream) || s.peerInTheWay(now, f, upstream) || s.yields(now, f) {
 		return Busy, true
 	}
 	return Allowed, true
@@ -157,6 +162,29 @@
 	return time.Time{}, false
 }
 
+// yields reports whether another suspect goes first. Two requests that shared all
+// crashes to which one of them was sent alone can't be told apart, and another shared
+// crash would not help: hosts that have not heard of each other's runs send both at
+// once. The one with the lower fingerprint runs first, so that either it completes or
+// its crash is its own.
+func (s *Suspects) yields(now time.Time, f Fingerprint) bool {
+	known := s.known(now, f)
+	if known == nil {
+		return false
+	}
+	isolated := known.isolatedCrashes()
+	if len(isolated) == 0 {
+		return false
+	}
+	for other, suspect := range s.suspects {
+		goesFirst := bytes.Compare(other[:], f[:]) < 0 && now.Sub(suspect.lastChange()) < yieldTime
+		if goesFirst && suspect.active() >= quarantineCrashes && suspect.wasAtAll(isolated) {
+			return true
+		}
+	}
+	return false
+}
+
 // shared reports whether another request that is a suspect because of another
 // crash, too, was at all of the given crashes: then they prove nothing. It
 // happens when a request became a suspect while it ran beside an isolated run,
--- a/internal/retry/suspicion.go
+++ b/internal/retry/suspicion.go
@@ -128,6 +128,17 @@
 	return crashes
 }
 
+// lastChange returns when this host last learned something about the request.
+func (s *suspect) lastChange() time.Time {
+	var last time.Time
+	for i := range s.records {
+		if changed := s.records[i].changed; changed.After(last) {
+			last = changed
+		}
+	}
+	return last
+}
+
 // active returns how many crashes count against the request.
 func (s *suspect) active() int {
 	count := 0
