Read no report while an order is on its way

Orders that name a count which is too high are refused, and reports with a lower one were ignored, so such an engine got no order until the next coordinator. Change: reading a report takes the lock under which orders go out.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -58,7 +58,9 @@
 	loaded   string
 	loadedAt time.Time // of loaded, the last one
 	loseNext int       // orders that are carried out and not answered
-	dropNext int       // orders that are neither answered nor carried out
+	// answerIn is the time from an order to its answer.
+	answerIn time.Duration
+	dropNext int // orders that are neither answered nor carried out
 	// late says that a load, ordered long before, is carried out right after the
 	// next unload from a full engine.
 	late     bool
@@ -101,6 +103,11 @@
 	}
 	e.holdings.OrderSeq++
 	result := e.carryOut(order)
+	if e.answerIn > 0 {
+		e.mu.Unlock()
+		time.Sleep(e.answerIn)
+		e.mu.Lock()
+	}
 	if e.loseNext > 0 {
 		e.loseNext--
 		return OrderUnknown, &EngineError{Upstream: upstream.ID, Call: "order", Cause: context.DeadlineExceeded}
@@ -429,6 +436,32 @@
 	}
 }
 
+// A report that is read while the answer to an order is on its way counts the order
+// already. It must not be counted twice: the engine would refuse all later orders.
+func TestReportBesideAnswer(t *testing.T) {
+	c, engine := startCoordinator(t, 1)
+	c.mu.Lock()
+	state := c.fleet["e1"]
+	c.mu.Unlock()
+	engine.mu.Lock()
+	engine.answerIn = 60 * time.Millisecond
+	engine.mu.Unlock()
+	given := make(chan struct{})
+	go func() {
+		defer close(given)
+		c.Adapter(context.Background(), &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: "a1"})
+	}()
+	time.Sleep(25 * time.Millisecond)
+	c.refresh(context.Background(), state)
+	<-given
+	c.mu.Lock()
+	known := state.holdings.OrderSeq
+	c.mu.Unlock()
+	if known != 6 {
+		t.Errorf("order count %d, the engine's is 6", known)
+	}
+}
+
 // An order that waited for the one before it must not go out after the lease has
 // ended.
 func TestOrderAfterTheEndOfTheLease(t *testing.T) {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -20,7 +20,7 @@
 
 type modelRate struct {
 	rate        float64 // requests per second
-	adapterRate float64 // of these, requests that name an adapter
+	adapterRate float64 // of rate, requests that name an adapter
 	at          time.Duration
 	lastSeen    time.Duration
 }
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -17,7 +17,7 @@
 	asking   bool       // a report is being read
 	doubted  bool       // a host was told that it lacks what is known of it
 	occupied bool       // an action is in progress here
-	orders   sync.Mutex // held while an order is on its way
+	orders   sync.Mutex // held while an order is on its way or a report is read
 	// adapterTurn is held while a place for an adapter is made and filled.
 	adapterTurn sync.Mutex
 	loading     *Action
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -115,6 +115,7 @@
 	return false
 }
 
+// holds reports whether the engine is free and holds the model.
 func (c *Coordinator) holds(engine *engineState, model string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,12 +161,14 @@
 // give sends an order and follows up a failure: the report is read, and the
 // engine gets no other model for a moment.
 func (c *Coordinator) give(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+	engine.orders.Lock() // each order relies on the count after the one before
+	defer engine.orders.Unlock()
 	result, sent := c.send(ctx, engine, order)
 	if !sent || result == OrderAccepted || result == OrderHolds {
 		return result, sent
 	}
 	if result != OrderConflict || !c.busy(engine) {
-		c.refresh(ctx, engine)
+		c.read(ctx, engine)
 	}
 	if order.Adapter == "" {
 		c.fail(engine)
@@ -175,10 +178,9 @@
 
 // send sends an order with the engine's order count, so that an earlier one
 // whose answer was lost can't be carried out after it. Sent is false if the
-// order did not go out: the lease has ended, or the engine is another one now.
+// order did not go out: the lease has ended, or the engine is another one now. Its
+// caller holds engine.orders.
 func (c *Coordinator) send(ctx context.Context, engine *engineState, order Order) (result OrderResult, sent bool) {
-	engine.orders.Lock() // each order relies on the count after the one before
-	defer engine.orders.Unlock()
 	fence, ok := c.lease.MayOrder(orderArrival)
 	if !ok {
 		return OrderRejected, false
@@ -234,8 +236,16 @@
 	engine.retryAt = clock.SinceBoot() + failurePause
 }
 
-// refresh reads the engine's report.
+// refresh reads the engine's report. No order is on its way meanwhile: a report that
+// counts it before its answer is here would make it count twice.
 func (c *Coordinator) refresh(ctx context.Context, engine *engineState) bool {
+	engine.orders.Lock()
+	defer engine.orders.Unlock()
+	return c.read(ctx, engine)
+}
+
+// read reads the engine's report. Its caller holds engine.orders.
+func (c *Coordinator) read(ctx context.Context, engine *engineState) bool {
 	c.mu.Lock()
 	upstream := engine.upstream
 	c.mu.Unlock()
