Wait for the first slot instead of refusing for the rate

No slot of the workspace was in use yet, so nothing was expected to come, and the refusal was at once. Change: while no host is known to refill a workspace's tokens, a request waits for up to a second (or its deadline) for the first slot; after that it is refused.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -28,6 +28,9 @@
 	pumpMinimum  = time.Millisecond
 	// maintenanceInterval is the period of returns and slot activation.
 	maintenanceInterval = 50 * time.Millisecond
+	// activationWait bounds the wait for the first slot of a workspace: a host that
+	// has just started has none yet.
+	activationWait = time.Second
 )
 
 // Lenders calls other hosts by name. Implementations bound their own size of
@@ -105,6 +108,9 @@
 }
 
 func (l *Limiter) wait(ctx context.Context, q *queue, tokens float64, deadline time.Time) (*Reservation, error) {
+	if !l.active(q.workspace) {
+		deadline = earlier(deadline, l.clk.Now().Add(activationWait))
+	}
 	entry, err := l.enqueue(q, tokens, deadline)
 	if err != nil {
 		return nil, err
@@ -162,9 +168,26 @@
 	if horizon <= 0 {
 		return false
 	}
+	if !l.active(workspace) {
+		return true // the first slot may come at any moment; the deadline is short until then
+	}
 	return supply.now+supply.rate*horizon.Seconds() >= needed-tokenTolerance
 }
 
+// active reports whether some host is known to refill the workspace's tokens. One
+// whose rate is 0 counts as active: its tokens never come.
+func (l *Limiter) active(workspace string) bool {
+	supply, ok := l.supply(workspace)
+	return !ok || supply.rate > 0 || supply.configured <= 0
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // refusal estimates when the tokens will be there.
 func (l *Limiter) refusal(workspace string, needed float64) *RateLimitedError {
 	refused := &RateLimitedError{Workspace: workspace}
@@ -180,6 +203,8 @@
 	now      float64 // tokens available here or known to be spare
 	rate     float64 // tokens per second that become available
 	capacity float64 // of this host's own bucket
+	// configured is the workspace's rate, in tokens per second.
+	configured float64
 }
 
 func (l *Limiter) supply(workspace string) (supply, bool) {
@@ -187,7 +212,7 @@
 	if !ok {
 		return supply{}, false
 	}
-	total := supply{now: w.available, rate: w.ownRate, capacity: w.ownCapacity}
+	total := supply{now: w.available, rate: w.ownRate, capacity: w.ownCapacity, configured: w.rate}
 	if l.policy == PolicyStatic {
 		return total, true
 	}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -266,3 +266,45 @@
 		}
 	}
 }
+
+// loneLimiter returns a limiter of a host without others that has no slot yet.
+func loneLimiter(t *testing.T) (*Limiter, *Manager) {
+	t.Helper()
+	m := NewManager(clock.System{}, "a", 1)
+	m.Apply(testSnapshot(t, 1, func(d *config.Document) {
+		delete(d.Hosts, "b")
+		d.Workspaces["w"] = config.Workspace{RateTokensPerS: 1000, BurstTokens: 200}
+	}))
+	l := NewLimiter(m, &directLenders{}, PolicyLoans, prometheus.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	t.Cleanup(func() { cancel(); l.Close(context.Background()) })
+	return l, m
+}
+
+// A host that had just started refused a request of 5 tokens as over a rate of 3,000
+// a second, because it had no slot yet (the README's tour beside busy processes).
+func TestAcquireWaitsForTheFirstSlot(t *testing.T) {
+	l, m := loneLimiter(t)
+	activated := time.AfterFunc(150*time.Millisecond, m.AssumeFirstStart)
+	defer activated.Stop()
+	r, err := l.Acquire(context.Background(), "w", 5, time.Now().Add(5*time.Second))
+	if err != nil {
+		t.Fatalf("refused: %v", err)
+	}
+	r.Settle(5)
+}
+
+// Without a slot the request is refused soon, not at its deadline.
+func TestAcquireWithoutSlotsIsRefusedSoon(t *testing.T) {
+	l, _ := loneLimiter(t)
+	begun := time.Now()
+	_, err := l.Acquire(context.Background(), "w", 5, begun.Add(10*time.Second))
+	var limited *RateLimitedError
+	if !errors.As(err, &limited) {
+		t.Fatalf("error %v", err)
+	}
+	if took := time.Since(begun); took < activationWait || took > 3*time.Second {
+		t.Errorf("refused after %v", took)
+	}
+}
