Keep a missing upstream only after an outage in which its entry can have lapsed

A failed call within 2 s before made it take the entry for one that had lapsed with the table service, and wait 2 s for it to come back; it sent requests there 2.4 s after the upstream had left. Change: a failed call counts only if the table service may have been unavailable for 2.2 s, by this host's last answer or the relayed confirmation; entries do not lapse sooner.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -18,6 +18,11 @@
 	// returnGrace is how long a missing entry is waited for after the table
 	// service was unavailable: entries lapse then and come back.
 	returnGrace = 2 * time.Second
+	// entryLapse is the outage from which entries can have lapsed with the table
+	// service: upstreams write every 1.2 s, and an entry lapses after three such
+	// periods, of which one may have passed before the outage. A shorter one, or a
+	// connection of this host that broke, says nothing about a missing entry.
+	entryLapse = 2200 * time.Millisecond
 	// quietRows is the number of rows that are read at once beyond which new
 	// upstreams get one line in the log together.
 	quietRows = 32
@@ -41,7 +46,7 @@
 	mu       sync.Mutex
 	entries  map[string]*catalog.Upstream
 	missing  map[string]time.Time // entries that may come back, until when
-	lostAt   time.Time            // last failure of the table service
+	lostAt   time.Time            // last failure of an outage in which entries lapse
 	engines  map[string]coordinator.EngineView
 	epoch    int64
 	version  int64
@@ -109,8 +114,11 @@
 	}
 }
 
-// Lost notes that the table service failed.
-func (d *Directory) Lost(error) {
+// Lost notes that the table service may have been unavailable for a time.
+func (d *Directory) Lost(outage time.Duration) {
+	if outage < entryLapse {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lostAt = time.Now()
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -22,10 +22,12 @@
 	// Needed reports whether the table service must be asked: it need not while
 	// another host relays the table. Optional.
 	Needed func() bool
-	// Lost is called with each failed call. Optional.
-	Lost func(err error)
+	// Lost is called after each failed call with the longest time for which the
+	// table service may have been unavailable. Optional.
+	Lost func(outage time.Duration)
 
-	gone bool // the history after the replica's revision is gone
+	gone     bool          // the history after the replica's revision is gone
+	answered time.Duration // end of the last answer, on the boot clock; 0: none
 }
 
 const (
@@ -49,6 +51,7 @@
 		}
 		err := f.step(ctx)
 		if err == nil {
+			f.answered = clock.SinceBoot()
 			if !connected {
 				f.Log.Info("Table followed again.", "table", f.Table, "revision", f.Replica.Revision())
 			}
@@ -62,12 +65,22 @@
 			connected = false
 		}
 		if f.Lost != nil && ctx.Err() == nil {
-			f.Lost(err)
+			f.Lost(f.outage())
 		}
 		clock.Sleep(ctx, retryPause)
 	}
 }
 
+// outage returns the time since the table service is known to have answered, this
+// host or the one that relays the table.
+func (f *Follower) outage() time.Duration {
+	age := f.Replica.Age()
+	if f.answered == 0 {
+		return age
+	}
+	return min(age, clock.SinceBoot()-f.answered)
+}
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	asked := clock.SinceBoot()
