Tell followers of a row that changed while a large table was read

Change: such rows are put into the log. Figures: TestChangeDuringAReadIsTold fails without the change.

--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -176,11 +176,14 @@
 
 func (r *Replica) replace(page Page) []Row {
 	r.rows = make(map[string]Row, len(page.Rows))
+	r.changes = nil
+	r.floor = page.Revision
 	for _, row := range page.Rows {
 		r.rows[row.Key] = row
+		if row.Revision > page.Revision {
+			r.remember(row) // it changed while the pages of the table were read
+		}
 	}
-	r.changes = nil
-	r.floor = page.Revision
 	return page.Rows
 }
 
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -135,3 +135,20 @@
 		t.Errorf("%d rows, want %d", got, want)
 	}
 }
+
+// Guards against followers that miss a row which changed while the replica read the
+// pages of a large table: the feed repeats the change, but the replica knows it.
+func TestChangeDuringAReadIsTold(t *testing.T) {
+	now := clock.SinceBoot()
+	source := Replica{Same: func(a, b []byte) bool { return string(a) == string(b) }}
+	var copied Replica
+	copied.Take(Page{Rows: entries(1, 10), Revision: 12}, true, now)
+	changed := Row{Key: "k7", Value: []byte("draining"), Revision: 15}
+	rows := append(entries(1, 6), changed)
+	source.Take(Page{Rows: append(rows, entries(8, 10)...), Revision: 12}, true, now) // the first page is of 12
+	source.Take(Page{Rows: []Row{changed}, Revision: 20}, false, now)
+	copied.Accept(source.Since(copied.Revision()), now)
+	if got := string(copied.rows["k7"].Value); got != "draining" || copied.Revision() != 20 {
+		t.Errorf("k7 is %q at revision %d", got, copied.Revision())
+	}
+}
