Log at which stage a caller left, count adapter calls, measure stalls

Change: internal/presence looks at a caller's socket; Request ended. of a caller that left has left_stage, left_ms, after_left_ms, sends_at_left and adapter_calls; four metrics; the line Host stalled. No decision depends on them.

--- a/internal/gateway/access_record.go
+++ b/internal/gateway/access_record.go
@@ -21,6 +21,8 @@
 	upstream   string
 	sends      int
 	firstEvent time.Duration // time to the first event; 0: none
+	// adapterCalls counts the calls to load the request's adapter.
+	adapterCalls int
 }
 
 func (r *accessRecord) recordFirstEvent(startedAt time.Time) {
@@ -32,7 +34,8 @@
 // finish logs the request and updates the metrics.
 func (in *inbound) finish() {
 	g := in.gateway
-	took := time.Since(in.startedAt)
+	now := time.Now()
+	took := now.Sub(in.startedAt)
 	fields := []any{"status", in.record.status, "reason", in.record.reason, "sends", in.record.sends, "upstream", in.record.upstream,
 		"took_ms", took.Milliseconds(), "first_ms", in.record.firstEvent.Milliseconds(), "config_age_ms", g.config.age().Milliseconds()}
 	routeName := ""
@@ -46,6 +49,10 @@
 	if in.workspace != nil {
 		fields = append(fields, "workspace", in.workspace.Name, "cost", in.cost)
 	}
+	if in.record.adapterCalls > 0 {
+		fields = append(fields, "adapter_calls", in.record.adapterCalls)
+	}
+	fields = append(fields, in.departure.report(now, g.metrics)...)
 	_, view := g.registry.ViewVersion()
 	g.log.Info("Request ended.", append(fields, "view", view)...)
 	g.metrics.observe(routeName, in.record.status, took)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -70,6 +70,7 @@
 		in.gateway.exchanger.demand.recordArrival(d.modelKey, d.request.Adapter)
 	}
 	for {
+		d.departure.enter(stageSelect)
 		candidate, refused := d.selectUpstream()
 		if refused != nil {
 			return d.finalRefusal(refused)
@@ -151,6 +152,9 @@
 // the adapter can't be loaded in time, otherwise it sleeps until the next call is due.
 func (d *dispatcher) requestAdapter(calls *int) *refusal {
 	*calls++
+	d.record.adapterCalls++
+	d.gateway.metrics.adapterCalls.Inc()
+	d.departure.enter(stageAdapter)
 	reply, err := d.gateway.exchanger.loadAdapter(d.ctx, d.modelKey, d.request.Adapter)
 	if err == nil && reply.Upstream != "" {
 		return nil
@@ -176,6 +180,7 @@
 // returns a refusal if the model can't be ready in time.
 func (d *dispatcher) waitForModel(changed <-chan struct{}) *refusal {
 	g := d.gateway
+	d.departure.enter(stageModel)
 	done := g.exchanger.demand.wait(d.modelKey, d.startedAt)
 	defer done()
 	g.exchanger.exchangeSoon()
@@ -240,6 +245,8 @@
 	defer release()
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
+	d.departure.enter(stageSend)
+	d.departure.countSend()
 	response, err := d.gateway.connections.Do(ctx, d.upstreamRequest(candidate.Upstream))
 	if err != nil {
 		return d.handleSendError(id, err)
@@ -255,6 +262,7 @@
 		return d.handleLostRun(id, "answer not understood", OutcomeFailed)
 	}
 	d.runs++
+	d.departure.enter(stageResponse)
 	return d.forward(id, response)
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 )
 
 const (
@@ -57,6 +58,7 @@
 	body        []byte
 	deadline    time.Time // the earlier of the caller's deadline and the route's timeout
 	record      accessRecord
+	departure   departure
 }
 
 // ServeHTTP handles a caller's request.
@@ -64,7 +66,11 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	in := &inbound{gateway: g, writer: w, httpRequest: r, startedAt: time.Now(), record: accessRecord{status: statusCallerGone}}
-	defer in.finish()
+	stopObserving := in.departure.observe(r.Context(), in.startedAt)
+	defer func() {
+		stopObserving()
+		in.finish()
+	}()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -146,6 +152,10 @@
 		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
 	}
 	in.body = body
+	if presence.Left(in.httpRequest.Context()) {
+		in.departure.enter(stageUnread)
+		in.departure.record()
+	}
 	return nil
 }
 
@@ -163,6 +173,7 @@
 	if in.workspace == nil || !in.workspace.Limited() {
 		return nil
 	}
+	in.departure.enter(stageAllowance)
 	in.cost = requestCost(in.workspace, in.request)
 	balances := in.gateway.exchanger.balances
 	until := time.Now().Add(min(maxGrantWait, time.Until(in.deadline)))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,11 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+
+	callersLeft     *prometheus.CounterVec
+	afterCallerLeft prometheus.Histogram
+	adapterCalls    prometheus.Counter
+	stalls          prometheus.Histogram
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -23,11 +28,25 @@
 			Name: "gateway_request_seconds", Help: "Time from the request's arrival to its end.",
 			Buckets: []float64{.01, .03, .1, .3, 1, 3, 10, 30},
 		}, []string{"route"}),
+		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gateway_callers_left_total", Help: "Callers that left before their response was complete, by what their request was doing.",
+		}, []string{"stage"}),
+		afterCallerLeft: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "gateway_after_caller_left_seconds", Help: "Time from the notice that a caller had left to the end of its request.",
+			Buckets: []float64{.001, .01, .1, .5, 1, 3},
+		}),
+		adapterCalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_adapter_calls_total", Help: "Times that a request asked for an adapter to be loaded.",
+		}),
+		stalls: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "gateway_stall_seconds", Help: "How late a timer of the host fired.",
+			Buckets: []float64{.01, .05, .25, .5, 1, 3},
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.latency,
+	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls,
 		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
 		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -104,6 +105,7 @@
 	g.startBackground(background, &group, l)
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: presence.ConnContext,
 	}
 	serving := make(chan error, 1)
 	go func() { serving <- server.Serve(l.callers) }()
@@ -148,6 +150,7 @@
 	group.Go(func() { g.exchanger.poolExchanger.run(ctx) })
 	group.Go(func() { g.coordinator.Run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
+	group.Go(func() { g.watchStalls(ctx) })
 	group.Go(func() { g.serveInternal(l.ready, g.readyHandler()) })
 	if l.metrics != nil {
 		group.Go(func() { g.serveInternal(l.metrics, g.metricsHandler()) })
--- /dev/null
+++ b/internal/presence/presence_test.go
@@ -0,0 +1,94 @@
+package presence
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// connect returns both ends of a TCP connection on loopback.
+func connect(t *testing.T) (caller, host *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = dialed.Close(), accepted.Close() })
+	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// waysToLeave are the ways in which a caller can end a connection.
+var waysToLeave = map[string]func(caller *net.TCPConn) error{
+	"close": (*net.TCPConn).Close,
+	"reset": func(caller *net.TCPConn) error {
+		if err := caller.SetLinger(0); err != nil {
+			return err
+		}
+		return caller.Close()
+	},
+	"half-close": (*net.TCPConn).CloseWrite,
+}
+
+// Guards against work for callers that had left (GONE): each way to leave is seen, also
+// behind bytes that nobody has read.
+func TestLeftSeesEachWayToLeave(t *testing.T) {
+	for name, leave := range waysToLeave {
+		for _, unread := range []string{"", "request that is not read"} {
+			t.Run(name+"/"+unread, func(t *testing.T) { testLeft(t, leave, unread) })
+		}
+	}
+}
+
+func testLeft(t *testing.T, leave func(*net.TCPConn) error, unread string) {
+	caller, host := connect(t)
+	ctx := ConnContext(context.Background(), host)
+	if _, err := io.WriteString(caller, unread); err != nil {
+		t.Fatal(err)
+	}
+	if Left(ctx) {
+		t.Fatal("a connected caller counts as left")
+	}
+	if err := leave(caller); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(2 * time.Second)
+	for !Left(ctx) {
+		if time.Now().After(deadline) {
+			t.Fatal("the caller's leaving is not seen")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestLeftWithoutConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if Left(ctx) {
+		t.Error("a request without a connection counts as left")
+	}
+	cancel()
+	if !Left(ctx) {
+		t.Error("a request whose context has ended does not count as left")
+	}
+}
+
+func TestLeftAfterOwnClose(t *testing.T) {
+	_, host := connect(t)
+	ctx := ConnContext(context.Background(), host)
+	if err := host.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !Left(ctx) {
+		t.Error("a connection that this side closed does not count as left")
+	}
+}
