--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,7 +39,7 @@
 			Name: "gateway_adapter_calls_total", Help: "Times that a request asked for an adapter to be loaded.",
 		}),
 		stalls: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "gateway_stall_seconds", Help: "How late a timer of the host fired.",
+			Name: "gateway_stall_seconds", Help: "How late the host read a byte that it had written to itself at a tick.",
 			Buckets: []float64{.01, .05, .25, .5, 1, 3},
 		}),
 	}
