Failing tests of GONE: unread, unnoticed and busily waiting requests, bytes without end

Change: tests at each place where a request waits and for each way to leave; a test of the adapter wait; tests of bytes without end. gateway.Options.ListenCallers lets a test hold back what a host reads.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,8 @@
 	Engines        coordinator.Engines
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// ListenCallers opens the callers' listener. Optional; the default is net.Listen.
+	ListenCallers func(network, address string) (net.Listener, error)
 }
 
 // Gateway is one gateway host. Its ServeHTTP handles callers' requests.
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -60,3 +60,22 @@
 		t.Error("s1 is still used after the grace period")
 	}
 }
+
+// Guards against a request that asks for an adapter again and again (GONE): the
+// coordinator leaves engines that are as their entries say out of its view, and a host
+// did not note an adapter that was just loaded on such an engine.
+func TestLoadedAdapterOfEngineOutsideTheViewIsNoted(t *testing.T) {
+	entry := &catalog.Upstream{ID: "e1", Service: "llm", StartedMS: 1, Holdings: catalog.Holdings{Models: map[string][]string{"m1": {"a1"}}}}
+	decode := func(table.Row) (*catalog.Upstream, error) { return entry, nil }
+	r := NewRegistry(decode, func(string) {}, logr.Discard())
+	r.Apply([]table.Row{{Key: "e1"}}, true)
+	r.RecordAdapter("e1", "m1", "a2")
+	for _, adapter := range []string{"a1", "a2"} {
+		if got := r.Candidates("llm", "m1", adapter); len(got) != 1 || !got[0].HasAdapter {
+			t.Errorf("adapter %s is not noted: %+v", adapter, got)
+		}
+	}
+	if len(entry.Holdings.Models["m1"]) != 1 {
+		t.Error("the entry was changed")
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -65,12 +65,17 @@
 // without metrics.
 func (g *Gateway) listen() (listeners, error) {
 	var l listeners
+	listenCallers := g.options.ListenCallers
+	if listenCallers == nil {
+		listenCallers = net.Listen
+	}
 	for _, item := range []struct {
 		address  string
 		target   *net.Listener
 		optional bool
+		listen   func(network, address string) (net.Listener, error)
 	}{
-		{address: g.settings.Listen, target: &l.callers},
+		{address: g.settings.Listen, target: &l.callers, listen: listenCallers},
 		{address: g.settings.ReadyListen, target: &l.ready},
 		{address: g.settings.PeerListen, target: &l.peers},
 		{address: g.settings.MetricsListen, target: &l.metrics, optional: true},
@@ -78,7 +83,10 @@
 		if item.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", item.address)
+		if item.listen == nil {
+			item.listen = net.Listen
+		}
+		listener, err := item.listen("tcp", item.address)
 		switch {
 		case err == nil:
 			*item.target = listener
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -37,6 +37,8 @@
 	engine        *platformtest.Worker
 	ledgers       []*platformtest.Worker
 	configVersion int
+	// gate holds back what the hosts read from callers.
+	gate *gate
 	// loopback is the loopback IP of this fleet.
 	loopback string
 }
@@ -83,7 +85,7 @@
 func newTestFleet(t *testing.T, hosts int) *testFleet {
 	t.Helper()
 	t.Parallel()
-	f := &testFleet{t: t, store: platformtest.NewStore(), loopback: loopbackAddress(fleetCount.Add(1))}
+	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1))}
 	t.Cleanup(f.store.Close)
 	f.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	f.ledgers = []*platformtest.Worker{
@@ -142,6 +144,7 @@
 	s := gateway.DefaultSettings()
 	s.Host, s.DataCenter = name, "z1"
 	s.Listen, s.ReadyListen, s.PeerListen = f.freeAddress(), f.freeAddress(), f.freeAddress()
+	s.MetricsListen = f.freeAddress()
 	s.Platform = f.store.Address()
 	s.ShutdownTimeoutS = 4
 	s.KeyConfirmationMS = float64(keyConfirmation.Milliseconds())
@@ -153,6 +156,7 @@
 		ConfigTable: platform.OperatorTable, UpstreamTable: platform.WorkerTable,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
 		Protocol: platform.Protocol{}, Engines: platform.NewWorkerClient(), ReadyPath: platform.ReadyPath,
+		ListenCallers: f.gate.listen,
 	})
 	go func() {
 		err := h.Run(ctx)
--- /dev/null
+++ b/tests/gateway/raw_test.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// rawWorker is a worker whose answers are bytes of the test's choice. It records what
+// reaches it and when its connections end.
+type rawWorker struct {
+	id      string
+	address string
+	answer  func(conn net.Conn, request *http.Request)
+
+	mu       sync.Mutex
+	arrivals []time.Time // of complete requests
+	open     int         // connections with a request that is not answered yet
+}
+
+// newRawWorker starts a worker and makes it the only one of the plain service, or the
+// only engine, with model m1 and adapter a1 of it.
+func (f *testFleet) newRawWorker(service string, answer func(net.Conn, *http.Request)) *rawWorker {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", f.loopback+":0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	w := &rawWorker{id: "raw-" + service, address: listener.Addr().String(), answer: answer}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go w.serve(listener)
+	entry := f.ledgers[0].Entry("ready")
+	entry["service"], entry["address"] = service, w.address
+	if service == "llm" {
+		entry["models"] = []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{"a1"}}}
+		f.store.Remove("servers", f.engine.ID)
+	} else {
+		for _, ledger := range f.ledgers {
+			f.store.Remove("servers", ledger.ID)
+		}
+	}
+	f.store.Set("servers", w.id, entry)
+	time.Sleep(800 * time.Millisecond) // the hosts read the table
+	return w
+}
+
+func (w *rawWorker) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return // the test ends
+		}
+		go w.serveConn(conn)
+	}
+}
+
+func (w *rawWorker) serveConn(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return // the host disconnected
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if strings.HasPrefix(request.URL.Path, "/arbutusbank/") {
+			answerControl(conn, request)
+			continue
+		}
+		w.begin()
+		w.answer(conn, request)
+		w.end()
+	}
+}
+
+// answerControl answers a call of the coordinator: a report, or the refusal of an order.
+func answerControl(conn net.Conn, request *http.Request) {
+	status, body := "409 Conflict", ""
+	if request.URL.Path == "/arbutusbank/report" {
+		status = "200 OK"
+		body = `{"stage":"unified","models":[{"name":"m1","version":1,"adapters":["a1"]}],"busy":false,"seq":0,"born":1}`
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func (w *rawWorker) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, time.Now())
+	w.open++
+}
+
+func (w *rawWorker) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+}
+
+// atWork returns the number of requests that the worker is still busy with.
+func (w *rawWorker) atWork() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
+// arrived returns the number of requests that reached the worker since a time.
+func (w *rawWorker) arrived(since time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, at := range w.arrivals {
+		if at.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// untilClosed returns when the host has closed the connection.
+func untilClosed(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+// rawCaller is a caller's connection to a host.
+type rawCaller struct {
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+func (f *testFleet) dialHost(host int) *rawCaller {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.hosts[host].settings.Listen)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = conn.Close() })
+	return &rawCaller{conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+// send writes a request; a model request if model is not "".
+func (c *rawCaller) send(t *testing.T, path, id, model string) {
+	t.Helper()
+	if _, err := c.Write(rawRequest(path, id, model, "body")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func rawRequest(path, id, model, body string) []byte {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: seed.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\n", path, id)
+	fmt.Fprintf(&text, "Authorization: Bearer %s\r\nContent-Length: %d\r\n", testKey, len(body))
+	if model != "" {
+		fmt.Fprintf(&text, "Model: %s\r\nToken-Count: 100,20\r\nPrompt-Prefix: a1:50,b2:50\r\n", model)
+	}
+	text.WriteString("\r\n" + body)
+	return text.Bytes()
+}
+
+// receive reads a response and returns its status.
+func (c *rawCaller) receive(t *testing.T) int {
+	t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
+// waysToLeave are the ways in which a caller can end its request.
+var waysToLeave = map[string]func(c *rawCaller) error{
+	"close": func(c *rawCaller) error { return c.Close() },
+	"reset": func(c *rawCaller) error {
+		if err := c.SetLinger(0); err != nil {
+			return err
+		}
+		return c.Close()
+	},
+	"half-close": func(c *rawCaller) error { return c.CloseWrite() },
+	"close behind further bytes": func(c *rawCaller) error {
+		if _, err := io.WriteString(c, "\r\n"); err != nil {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond) // the bytes and the close arrive one after the other
+		return c.Close()
+	},
+}
+
+// metric returns the value of a host's counter, summed over its labels.
+func (f *testFleet) metric(host int, name string) float64 {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.hosts[host].settings.MetricsListen + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	sum := 0.0
+	for line := range strings.Lines(string(text)) {
+		var value float64
+		if strings.HasPrefix(line, name) {
+			if _, err := fmt.Sscanf(line[strings.LastIndexByte(line, ' ')+1:], "%g", &value); err != nil {
+				f.t.Fatal(err)
+			}
+			sum += value
+		}
+	}
+	return sum
+}
