Wait between two calls for an adapter

What callers saw: a host, mostly the coordinator, read nothing for up to 3 s; callers gave up unread (GONE), the lease and the tables were lost, requests for other models were refused. Cause: the coordinator calls an adapter loaded; this host does not list it, because it did not note adapters of engines outside the view (they are as their entries say), or because the engine failed or denied it lately. selectEngine then asked again at once. On the coordinator the call is local, so the loop never left the processor; its own exchange, which would have brought the view, did not run, nor did the network poller. Change: RecordAdapter notes the adapter on the entry's holdings; the engine that the coordinator names is used directly; every other pass waits, and is bounded. The waits of a request are in wait.go. Conclusion: each pass ends with an engine, a refusal or a wait.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,7 +8,6 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
-	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
@@ -19,23 +18,6 @@
 	maxSends = 4
 	// maxDials bounds the failed connection attempts of a request.
 	maxDials = 6
-	// notRunRetryDelay is the delay before a request that no upstream ran is sent
-	// again to upstreams that were already tried.
-	notRunRetryDelay = 60 * time.Millisecond
-	// minRunTime is the part of the caller timeout that is reserved for the run
-	// itself.
-	minRunTime = 250 * time.Millisecond
-	// minDrainRunTime is the time to the end of a shutdown below which waiting
-	// requests are refused: a run that starts later might not finish.
-	minDrainRunTime = 4 * time.Second
-	// maxUnestimatedWait bounds the wait for a model without an estimate of when it
-	// is ready.
-	maxUnestimatedWait = 700 * time.Millisecond
-	// maxAdapterCalls bounds the coordinator calls of a request to load an adapter.
-	maxAdapterCalls = 3
-	// adapterRetryDelay is the minimum delay between such calls; the coordinator may
-	// ask for a longer one.
-	adapterRetryDelay = 80 * time.Millisecond
 	// enginePriorityOffset keeps the most urgent engine priorities free for the
 	// system's own work.
 	enginePriorityOffset = 2
@@ -103,133 +85,6 @@
 	return r
 }
 
-// selectUpstream selects an upstream, waiting for one if necessary.
-func (d *dispatcher) selectUpstream() (*Candidate, *refusal) {
-	if d.isEngine() {
-		return d.selectEngine()
-	}
-	candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
-	candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
-	if candidate == nil && len(candidates) > 0 && d.runs == 0 {
-		clock.Sleep(d.ctx, notRunRetryDelay)
-		clear(d.tried)
-		candidate = selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
-	}
-	if candidate == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: shortRetryAfter}
-	}
-	return candidate, nil
-}
-
-// selectEngine selects an engine that has the model and the adapter loaded.
-func (d *dispatcher) selectEngine() (*Candidate, *refusal) {
-	adapterCalls := 0
-	for {
-		changed := d.gateway.registry.Changed()
-		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
-		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
-		switch {
-		case candidate == nil && len(candidates) > 0 && d.runs == 0:
-			clock.Sleep(d.ctx, notRunRetryDelay)
-			clear(d.tried)
-		case candidate == nil || candidate.InBackoff:
-			// Nothing usable now: another replica may become ready.
-		case candidate.HasAdapter:
-			return candidate, nil
-		default:
-			if refused := d.requestAdapter(&adapterCalls); refused != nil {
-				return nil, refused
-			}
-			continue
-		}
-		if refused := d.waitForModel(changed); refused != nil {
-			return nil, refused
-		}
-	}
-}
-
-// requestAdapter asks the coordinator to load the adapter. It returns a refusal if
-// the adapter can't be loaded in time, otherwise it sleeps until the next call is due.
-func (d *dispatcher) requestAdapter(calls *int) *refusal {
-	*calls++
-	d.record.adapterCalls++
-	d.gateway.metrics.adapterCalls.Inc()
-	d.departure.enter(stageAdapter)
-	reply, err := d.gateway.exchanger.loadAdapter(d.ctx, d.modelKey, d.request.Adapter)
-	if err == nil && reply.Upstream != "" {
-		return nil
-	}
-	reason, delay := errorText(err), adapterRetryDelay
-	if err == nil {
-		reason = reply.Reason
-		delay = max(delay, time.Duration(reply.RetryInMS)*time.Millisecond)
-		if delay > d.remainingWait() && reply.RetryInMS > 0 {
-			return &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded in time: " + reason, retryAfter: delay}
-		}
-	}
-	d.gateway.log.Info("Adapter not loaded.", "request", d.request.ID, "model", d.request.Model,
-		"adapter", d.request.Adapter, "asked", *calls, "reason", reason)
-	if d.ctx.Err() != nil || (*calls >= maxAdapterCalls && (err != nil || reply.RetryInMS == 0)) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded: " + reason, retryAfter: shortRetryAfter}
-	}
-	clock.Sleep(d.ctx, delay)
-	return nil
-}
-
-// waitForModel waits for a change of the registry, at most busyExchangeInterval. It
-// returns a refusal if the model can't be ready in time.
-func (d *dispatcher) waitForModel(changed <-chan struct{}) *refusal {
-	g := d.gateway
-	d.departure.enter(stageModel)
-	done := g.exchanger.demand.wait(d.modelKey, d.startedAt)
-	defer done()
-	g.exchanger.exchangeSoon()
-	now := time.Now()
-	left := d.remainingWait()
-	readyIn, known := g.exchanger.demand.estimate(now, d.modelKey)
-	switch {
-	case d.ctx.Err() != nil:
-		return d.timedOut()
-	case known && readyIn > left:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetryAfter, readyIn)}
-	case g.shutsDownWithin(minDrainRunTime):
-		return &refusal{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: shortRetryAfter}
-	case left <= 0, !known && now.Sub(d.startedAt) > maxUnestimatedWait:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetryAfter}
-	}
-	timer := time.NewTimer(busyExchangeInterval)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-d.ctx.Done():
-	}
-	return nil
-}
-
-// remainingWait returns how long the request may still wait before its run must
-// begin. Until a stream has started, the route's caller timeout applies too.
-func (d *dispatcher) remainingWait() time.Duration {
-	timeout := d.deadline.Sub(d.startedAt)
-	if !d.relay.started {
-		timeout = min(timeout, d.route.CallerTimeout())
-	}
-	return timeout - time.Since(d.startedAt) - minRunTime
-}
-
-// timedOut returns the refusal after the deadline passed or the caller disconnected;
-// a disconnected caller is sent nothing.
-func (d *dispatcher) timedOut() *refusal {
-	r := &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetryAfter}
-	if d.runs > 0 {
-		r = &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
-	}
-	if d.httpRequest.Context().Err() != nil {
-		r.reason = reasonCallerGone
-	}
-	return r
-}
-
 // send sends the request to one upstream. again reports that another attempt should
 // follow.
 func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -271,18 +271,24 @@
 	}
 }
 
-// RecordAdapter records an adapter that the coordinator has just loaded.
+// RecordAdapter records an adapter that the coordinator has just loaded, also on an
+// engine that its view leaves out because it is as its entry says.
 func (r *Registry) RecordAdapter(id, model, adapter string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	view, ok := r.engines[id]
-	if !ok {
+	entry := r.entries[id]
+	if entry == nil {
 		return
 	}
-	if adapters, loaded := view.Ready[model]; loaded && !slices.Contains(adapters, adapter) {
-		ready := maps.Clone(view.Ready)
-		ready[model] = append(slices.Clone(adapters), adapter)
-		view.Ready = ready
-		r.engines[id] = view
+	adapters, loaded := r.loadedAdapters(entry, model)
+	if !loaded || slices.Contains(adapters, adapter) {
+		return
+	}
+	view, ok := r.engines[id]
+	if !ok || view.StartedMS != entry.StartedMS {
+		view = coordinator.EngineView{Upstream: id, StartedMS: entry.StartedMS, Ready: entry.Holdings.Models}
 	}
+	view.Ready = maps.Clone(view.Ready)
+	view.Ready[model] = append(slices.Clone(adapters), adapter)
+	r.engines[id] = view
 }
--- /dev/null
+++ b/internal/gateway/wait.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+)
+
+const (
+	// notRunRetryDelay is the delay before a request that no upstream ran is sent
+	// again to upstreams that were already tried.
+	notRunRetryDelay = 60 * time.Millisecond
+	// minRunTime is the part of the caller timeout that is reserved for the run
+	// itself.
+	minRunTime = 250 * time.Millisecond
+	// minDrainRunTime is the time to the end of a shutdown below which waiting
+	// requests are refused: a run that starts later might not finish.
+	minDrainRunTime = 4 * time.Second
+	// maxUnestimatedWait bounds the wait for a model without an estimate of when it
+	// is ready.
+	maxUnestimatedWait = 700 * time.Millisecond
+	// maxAdapterCalls bounds the coordinator calls of a request to load an adapter.
+	maxAdapterCalls = 3
+	// adapterRetryDelay is the minimum delay between such calls; the coordinator may
+	// ask for a longer one.
+	adapterRetryDelay = 80 * time.Millisecond
+	// maxUnusableEngines bounds the calls that name an engine which this host can't use.
+	maxUnusableEngines = int(maxUnestimatedWait / adapterRetryDelay)
+)
+
+// selectUpstream selects an upstream, waiting for one if necessary.
+func (d *dispatcher) selectUpstream() (*Candidate, *refusal) {
+	if d.isEngine() {
+		return d.selectEngine()
+	}
+	candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
+	candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+	if candidate == nil && len(candidates) > 0 && d.runs == 0 {
+		clock.Sleep(d.ctx, notRunRetryDelay)
+		clear(d.tried)
+		candidate = selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+	}
+	if candidate == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: shortRetryAfter}
+	}
+	return candidate, nil
+}
+
+// selectEngine selects an engine that has the model and the adapter loaded. Each pass
+// ends with an engine, a refusal or a wait, because what it lacks changes only when other
+// goroutines run.
+func (d *dispatcher) selectEngine() (*Candidate, *refusal) {
+	var adapter adapterWait
+	for {
+		changed := d.gateway.registry.Changed()
+		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
+		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		switch {
+		case candidate == nil && len(candidates) > 0 && d.runs == 0:
+			clock.Sleep(d.ctx, notRunRetryDelay)
+			clear(d.tried)
+		case candidate == nil || candidate.InBackoff:
+			// Nothing usable now: another replica may become ready.
+		case candidate.HasAdapter:
+			return candidate, nil
+		default:
+			ready, refused := d.requestAdapter(&adapter)
+			if ready != nil || refused != nil {
+				return ready, refused
+			}
+			continue // requestAdapter has waited
+		}
+		if refused := d.waitForModel(changed); refused != nil {
+			return nil, refused
+		}
+	}
+}
+
+// adapterWait counts what a request has done to get its adapter.
+type adapterWait struct {
+	calls    int // calls to the coordinator
+	unusable int // of these, those that named an engine which this host can't use
+}
+
+// requestAdapter asks the coordinator to load the adapter. It returns the engine that has
+// it, a refusal if the adapter can't be loaded in time, or neither after the time until
+// the next call is due.
+func (d *dispatcher) requestAdapter(wait *adapterWait) (*Candidate, *refusal) {
+	wait.calls++
+	d.record.adapterCalls++
+	d.gateway.metrics.adapterCalls.Inc()
+	d.departure.enter(stageAdapter)
+	reply, err := d.gateway.exchanger.loadAdapter(d.ctx, d.modelKey, d.request.Adapter)
+	if d.ctx.Err() != nil {
+		return nil, d.timedOut()
+	}
+	if err == nil && reply.Upstream != "" {
+		return d.engineWithAdapter(wait, reply.Upstream)
+	}
+	reason, delay := errorText(err), adapterRetryDelay
+	if err == nil {
+		reason = reply.Reason
+		delay = max(delay, time.Duration(reply.RetryInMS)*time.Millisecond)
+		if delay > d.remainingWait() && reply.RetryInMS > 0 {
+			return nil, &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded in time: " + reason, retryAfter: delay}
+		}
+	}
+	d.gateway.log.Info("Adapter not loaded.", "request", d.request.ID, "model", d.request.Model,
+		"adapter", d.request.Adapter, "asked", wait.calls, "reason", reason)
+	if wait.calls >= maxAdapterCalls && (err != nil || reply.RetryInMS == 0) {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "adapter not loaded: " + reason, retryAfter: shortRetryAfter}
+	}
+	clock.Sleep(d.ctx, delay)
+	return nil, nil
+}
+
+// engineWithAdapter returns the engine on which the coordinator says that the adapter is
+// loaded. If this host can't use that engine, because it failed lately, stated that it
+// lacks the adapter or is not known here, engineWithAdapter returns neither an engine nor
+// a refusal after adapterRetryDelay, and a refusal after maxUnusableEngines such calls.
+func (d *dispatcher) engineWithAdapter(wait *adapterWait, id string) (*Candidate, *refusal) {
+	for _, candidate := range d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter) {
+		if candidate.Upstream.ID == id && candidate.HasAdapter && !candidate.InBackoff && !d.tried[id] {
+			return &candidate, nil
+		}
+	}
+	wait.unusable++
+	d.gateway.log.Info("Engine with the adapter is not usable here.", "request", d.request.ID, "model", d.request.Model,
+		"adapter", d.request.Adapter, "upstream", id, "asked", wait.calls)
+	if wait.unusable >= maxUnusableEngines || d.remainingWait() <= 0 {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "engine with the adapter not usable", retryAfter: shortRetryAfter}
+	}
+	d.gateway.exchanger.exchangeSoon()
+	clock.Sleep(d.ctx, adapterRetryDelay)
+	return nil, nil
+}
+
+// waitForModel waits for a change of the registry, at most busyExchangeInterval. It
+// returns a refusal if the model can't be ready in time.
+func (d *dispatcher) waitForModel(changed <-chan struct{}) *refusal {
+	g := d.gateway
+	d.departure.enter(stageModel)
+	done := g.exchanger.demand.wait(d.modelKey, d.startedAt)
+	defer done()
+	g.exchanger.exchangeSoon()
+	now := time.Now()
+	left := d.remainingWait()
+	readyIn, known := g.exchanger.demand.estimate(now, d.modelKey)
+	switch {
+	case d.ctx.Err() != nil:
+		return d.timedOut()
+	case known && readyIn > left:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetryAfter, readyIn)}
+	case g.shutsDownWithin(minDrainRunTime):
+		return &refusal{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: shortRetryAfter}
+	case left <= 0, !known && now.Sub(d.startedAt) > maxUnestimatedWait:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetryAfter}
+	}
+	timer := time.NewTimer(busyExchangeInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-d.ctx.Done():
+	}
+	return nil
+}
+
+// remainingWait returns how long the request may still wait before its run must
+// begin. Until a stream has started, the route's caller timeout applies too.
+func (d *dispatcher) remainingWait() time.Duration {
+	timeout := d.deadline.Sub(d.startedAt)
+	if !d.relay.started {
+		timeout = min(timeout, d.route.CallerTimeout())
+	}
+	return timeout - time.Since(d.startedAt) - minRunTime
+}
+
+// timedOut returns the refusal after the deadline passed or the caller disconnected;
+// a disconnected caller is sent nothing.
+func (d *dispatcher) timedOut() *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetryAfter}
+	if d.runs > 0 {
+		r = &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
+	}
+	if d.httpRequest.Context().Err() != nil {
+		r.reason = reasonCallerGone
+	}
+	return r
+}
