Look at the caller's connection before each send, and every 200 ms

What callers saw: nothing; workers ran requests whose callers had given up unread (GONE). Cause: a request learnt of its caller's leaving from net/http's background read alone. That goroutine runs after the handler has sent the request if both were waiting to be read, and not at all after it has read a further byte. Pool.Do wrote to a kept connection before the end of the context closed it, and the loop of attempts did not look at the context. Class: an effect that relies on an asynchronous notice of what makes it unwanted. Change: presence.Left looks at the socket: after a request was read, before each choice of an upstream, and in Pool.Do right before the first byte. presence.Watcher looks every 200 ms, so waits end within the rule's half second whatever net/http notices. Conclusion: no send relies on another goroutine's turn.

--- a/internal/gateway/departure.go
+++ b/internal/gateway/departure.go
@@ -12,7 +12,7 @@
 // Stages of a request, in their usual order.
 const (
 	stageRead      stage = iota // its body is being read
-	stageUnread                 // it was read after its caller had left
+	stageUnread                 // it was read; its caller may have left before
 	stageAllowance              // waits for its workspace's allowance
 	stageSelect                 // an upstream is selected
 	stageModel                  // waits for its model
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
 
@@ -53,6 +54,9 @@
 	}
 	for {
 		d.departure.enter(stageSelect)
+		if presence.Left(d.ctx) {
+			return d.finalRefusal(d.timedOut())
+		}
 		candidate, refused := d.selectUpstream()
 		if refused != nil {
 			return d.finalRefusal(refused)
@@ -101,7 +105,6 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
 	d.departure.enter(stageSend)
-	d.departure.countSend()
 	response, err := d.gateway.connections.Do(ctx, d.upstreamRequest(candidate.Upstream))
 	if err != nil {
 		return d.handleSendError(id, err)
@@ -134,7 +137,18 @@
 	return &upstream.Request{
 		Key: to.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
 		Header: d.gateway.protocol.UpstreamHeader(d.httpRequest.Header, attempt), Body: d.body,
+		BeforeSend: d.beforeSend,
+	}
+}
+
+// beforeSend reports whether the request is still to be sent, once there is a connection
+// to the upstream.
+func (d *dispatcher) beforeSend() bool {
+	if presence.Left(d.ctx) {
+		return false
 	}
+	d.departure.countSend()
+	return true
 }
 
 func (d *dispatcher) priority() int {
@@ -146,6 +160,10 @@
 
 // handleSendError decides what follows a send without a response.
 func (d *dispatcher) handleSendError(id string, err error) (bool, *refusal) {
+	var unwanted *upstream.UnwantedError
+	if errors.As(err, &unwanted) {
+		return false, d.timedOut()
+	}
 	var dial *upstream.DialError
 	if errors.As(err, &dial) {
 		d.dials++
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -74,7 +74,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	steps := []func() *refusal{in.parse, in.match, in.authenticate, in.readBody, in.checkQuarantine, in.charge}
+	steps := []func() *refusal{in.parse, in.match, in.authenticate, in.readBody, in.checkCaller, in.checkQuarantine, in.charge}
 	for _, step := range steps {
 		if refused := step(); refused != nil {
 			in.refuse(refused)
@@ -152,9 +152,14 @@
 		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
 	}
 	in.body = body
+	return nil
+}
+
+// checkCaller refuses a request that was read after its caller had left.
+func (in *inbound) checkCaller() *refusal {
+	in.departure.enter(stageUnread)
 	if presence.Left(in.httpRequest.Context()) {
-		in.departure.enter(stageUnread)
-		in.departure.record()
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonCallerGone}
 	}
 	return nil
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -112,7 +112,7 @@
 	var group conc.WaitGroup
 	g.startBackground(background, &group, l)
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: presence.NewWatcher().Handler(g), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: presence.ConnContext,
 	}
 	serving := make(chan error, 1)
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -12,11 +12,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// connectionKey is the context key of a request's connection.
-type connectionKey struct{}
+// connectionKey is the context key of a connection, requestKey that of a watched request.
+type (
+	connectionKey struct{}
+	requestKey    struct{}
+)
+
+// LeftError is the cause of the end of a request's context whose caller has left.
+type LeftError struct{}
 
-// ConnContext is the ConnContext of an http.Server. It makes Left work for the requests
-// of a connection.
+// Error implements error.
+func (e *LeftError) Error() string { return "the caller has left" }
+
+// ConnContext is the ConnContext of an http.Server whose requests are watched.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
@@ -29,15 +37,30 @@
 	return context.WithValue(ctx, connectionKey{}, raw)
 }
 
-// Left reports whether the caller has closed, half-closed or reset the connection of the
-// request with this context, or the context has ended. It makes one system call and
-// does not block.
+// Left reports whether the context of a request has ended, or its caller has closed,
+// half-closed or reset the connection. In the second case it ends the request's context.
+// It makes one system call and does not block. Without a Watcher it knows the context only.
 func Left(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
 	}
-	raw, ok := ctx.Value(connectionKey{}).(syscall.RawConn)
-	return ok && disconnected(raw)
+	r, ok := ctx.Value(requestKey{}).(*request)
+	return ok && r.look()
+}
+
+// request is a watched request.
+type request struct {
+	raw    syscall.RawConn
+	cancel context.CancelCauseFunc
+}
+
+// look ends the request's context if the caller has left. It reports whether it has.
+func (r *request) look() bool {
+	if !disconnected(r.raw) {
+		return false
+	}
+	r.cancel(&LeftError{})
+	return true
 }
 
 // disconnected reports whether the peer of a socket has closed its sending direction or
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -52,7 +55,7 @@
 
 func testLeft(t *testing.T, leave func(*net.TCPConn) error, unread string) {
 	caller, host := connect(t)
-	ctx := ConnContext(context.Background(), host)
+	ctx := watchedContext(t, host)
 	if _, err := io.WriteString(caller, unread); err != nil {
 		t.Fatal(err)
 	}
@@ -69,6 +72,46 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
+	var left *LeftError
+	if !errors.As(context.Cause(ctx), &left) {
+		t.Errorf("the context's cause is %v, want a LeftError", context.Cause(ctx))
+	}
+}
+
+// watchedContext returns the context of a request on a connection, which ends with the
+// test.
+func watchedContext(t *testing.T, host net.Conn) context.Context {
+	t.Helper()
+	contexts := make(chan context.Context)
+	handler := NewWatcher().Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		contexts <- r.Context()
+		<-t.Context().Done()
+	}))
+	r := httptest.NewRequestWithContext(ConnContext(context.Background(), host), http.MethodGet, "/", nil)
+	go handler.ServeHTTP(httptest.NewRecorder(), r)
+	return <-contexts
+}
+
+// A caller that nobody looks at is noticed within half a second, also behind bytes after
+// which net/http no longer reads.
+func TestWatcherNoticesWithinHalfASecond(t *testing.T) {
+	for name, leave := range waysToLeave {
+		t.Run(name, func(t *testing.T) {
+			caller, host := connect(t)
+			ctx := watchedContext(t, host)
+			if _, err := io.WriteString(caller, "further bytes"); err != nil {
+				t.Fatal(err)
+			}
+			if err := leave(caller); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the context has not ended")
+			}
+		})
+	}
 }
 
 func TestLeftWithoutConnection(t *testing.T) {
@@ -84,7 +127,7 @@
 
 func TestLeftAfterOwnClose(t *testing.T) {
 	_, host := connect(t)
-	ctx := ConnContext(context.Background(), host)
+	ctx := watchedContext(t, host)
 	if err := host.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,6 +77,14 @@
 	p.idle[key] = append(p.idle[key], c)
 }
 
+// putUnused keeps a connection on which nothing was sent.
+func (p *Pool) putUnused(key string, c *conn) {
+	if c.expiresAt.IsZero() {
+		c.expiresAt = time.Now().Add(defaultIdleTime)
+	}
+	p.put(key, c)
+}
+
 // CloseIdle closes the idle connections to an upstream.
 func (p *Pool) CloseIdle(key string) {
 	p.mu.Lock()
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -32,8 +32,18 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// BeforeSend reports whether the request is still to be sent. It is called once there
+	// is a connection, right before the first byte is written. Optional.
+	BeforeSend func() bool
 }
 
+// UnwantedError reports that a request was not sent because its context had ended or
+// BeforeSend did not want it any more.
+type UnwantedError struct{ Address string }
+
+// Error implements error.
+func (e *UnwantedError) Error() string { return "request to " + e.Address + " is no longer wanted" }
+
 // IncompleteResponseError reports that a connection ended before the response was
 // complete. The request may have run.
 type IncompleteResponseError struct {
@@ -89,8 +99,8 @@
 }
 
 // Do sends a request and reads the response header. Ending the context closes the
-// connection, which cancels the request. Do returns a DialError if nothing was sent,
-// and an IncompleteResponseError if the request may have run.
+// connection, which cancels the request. Do returns a DialError or an UnwantedError if
+// nothing was sent, and an IncompleteResponseError if the request may have run.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	connection := p.take(request.Key)
 	fresh := connection == nil
@@ -101,6 +111,10 @@
 		}
 		connection = dialed
 	}
+	if ctx.Err() != nil || (request.BeforeSend != nil && !request.BeforeSend()) {
+		p.putUnused(request.Key, connection)
+		return nil, &UnwantedError{Address: request.Address}
+	}
 	stopCancelHook := context.AfterFunc(ctx, connection.close)
 	response := &Response{conn: connection, pool: p, key: request.Key, stopCancelHook: stopCancelHook, NewConnection: fresh}
 	if err := response.send(request); err != nil {
