Entry hosts: run no call whose caller has left

What callers saw: nothing; a call that a host read after its caller had given up ran once. Change: the server watches its callers, and both loops of attempts look at the caller's connection before each attempt. Conclusion: one check, package presence, for both kinds of hosts.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -15,6 +15,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 )
 
 const (
@@ -111,7 +112,8 @@
 
 func (h *Host) newServer() *http.Server {
 	return &http.Server{
-		Handler:           h.handler,
+		Handler:           presence.NewWatcher().Handler(h.handler),
+		ConnContext:       presence.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/engine"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 	"github.com/arbutusbank/arbutusbank/internal/quota"
 	"github.com/arbutusbank/arbutusbank/internal/refusal"
@@ -238,6 +239,9 @@
 // allowed. requeue is set when no replica remains at which the request may run.
 func (x *execution) attempt(ctx context.Context) (requeue bool, refusal *problem.Error) {
 	for {
+		if presence.Left(ctx) {
+			return false, x.contextRefusal(ctx)
+		}
 		if refusal := x.ensureReservation(ctx); refusal != nil {
 			return false, refusal
 		}
--- a/internal/service/executor.go
+++ b/internal/service/executor.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/idempotency"
+	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 	"github.com/arbutusbank/arbutusbank/internal/quota"
 	"github.com/arbutusbank/arbutusbank/internal/refusal"
@@ -255,6 +256,9 @@
 func (x *execution) runAttempts(ctx context.Context) (*Response, *problem.Error) {
 	x.options.Budgets.Route(x.budgetName()).RecordRequest()
 	for {
+		if presence.Left(ctx) {
+			return nil, x.adjustNotRun(refusal.FromContext(ctx))
+		}
 		run, address, refusal := x.selectWorker(ctx)
 		if refusal != nil {
 			return nil, refusal
