Bound the response header of an upstream to 64 KiB

What callers saw: a host that ran out of memory while an upstream sent a header without end. Cause: http.ReadResponse reads lines of any length; the connection had no limit. Change: a limit on what is read of a connection while a header is due, interim ones included; HeaderTooLongError, and the connection is closed. Evidence: TestHeaderWithoutEnd: 0.3 to 3.5 GB allocated in 2 s before; now under 1 MiB, and the error comes within 1 s (3 of 3). Conclusion: neither memory nor time depends on what an upstream sends as a header.

--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -17,6 +17,8 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeaderBytes bounds a response header with the interim responses before it.
+	maxHeaderBytes = 64 << 10
 	// maxInlineBodyBytes is the longest body that is written before the response is
 	// read. Longer ones are written concurrently, because an upstream may respond
 	// before it has read the body.
@@ -58,16 +60,47 @@
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
+// HeaderTooLongError reports a response header of more than Limit bytes.
+type HeaderTooLongError struct{ Limit int }
+
+// Error implements error.
+func (e *HeaderTooLongError) Error() string {
+	return "the response header has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// headerLimiter reads from a connection and bounds what is read while a header is due:
+// http.ReadResponse itself reads lines of any length.
+type headerLimiter struct {
+	source io.Reader
+	// left is the number of bytes that may still be read; -1: any.
+	left int
+}
+
+// Read implements io.Reader.
+func (l *headerLimiter) Read(p []byte) (int, error) {
+	if l.left < 0 {
+		return l.source.Read(p)
+	}
+	if l.left == 0 {
+		return 0, &HeaderTooLongError{Limit: maxHeaderBytes}
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // conn is one connection to an upstream.
 type conn struct {
 	socket    net.Conn
+	limiter   *headerLimiter
 	reader    *bufio.Reader
 	expiresAt time.Time
 	closeOnce sync.Once
 }
 
 func newConn(socket net.Conn) *conn {
-	return &conn{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes)}
+	limiter := &headerLimiter{source: socket, left: -1}
+	return &conn{socket: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 func (c *conn) close() {
@@ -159,7 +192,10 @@
 	return header.Bytes()
 }
 
+// readHeader reads the header of the final response; it skips interim ones.
 func (r *Response) readHeader(method string) error {
+	r.conn.limiter.left = maxHeaderBytes
+	defer func() { r.conn.limiter.left = -1 }()
 	for {
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
 		if err != nil {
