Bound responses and events of upstreams, and forward only events in streams

What callers saw: up to 16 MiB of a body without end as a complete answer, and up to 428 MB of bytes without end in a stream; hosts could run out of memory. Cause: forwardBuffered took what it had at its limit for the whole body; forwardStream kept an event of any length and forwarded whatever stood between two empty lines. Change: responseBuffer, with a limit for one response or event and a budget for all of a host (an eighth of its memory; 64 KiB of each response are free of it); lines without a field name end a stream as broken. The header of a stream is sent with its first event, so that a run that breaks before it is refused or resumed in place of a cut connection. Conclusion: what has no end is recognised by its size, not by the deadline.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	config           *configuration
 	registry         *Registry
 	connections      *upstream.Pool
+	buffers          *bufferBudget
 	elector          *lease.Elector
 	coordinator      *coordinator.Coordinator
 	exchanger        *exchanger
@@ -82,7 +83,8 @@
 	s := options.Settings
 	g := &Gateway{
 		settings: s, options: options, log: options.Log, protocol: options.Protocol, connections: upstream.NewPool(),
-		config: &configuration{decode: options.DecodeConfig, log: options.Log},
+		buffers: newBufferBudget(s.MemoryMB),
+		config:  &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
 	g.config.replica.OnChange = g.config.apply
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,24 +1,18 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
 
 const (
-	// maxBufferedResponseBytes bounds a response that is buffered until it is
-	// complete.
-	maxBufferedResponseBytes = 16 << 20
 	// maxDiscardBytes bounds what is read of a response that is not forwarded.
-	maxDiscardBytes   = 64 << 10
-	streamBufferBytes = 8 << 10
+	maxDiscardBytes = 64 << 10
 )
 
 // hopByHopHeaders concern a single connection and are not forwarded.
@@ -27,7 +21,7 @@
 // relay forwards the response of one upstream or, for a resumed stream, of several
 // upstreams to the caller.
 type relay struct {
-	started     bool // the caller has received a part of the response
+	started     bool // the header has been sent to the caller
 	lastEventID string
 }
 
@@ -47,8 +41,9 @@
 // forwardBuffered reads the complete response before it forwards it, so that the
 // request can be sent to another upstream if the response is incomplete.
 func (d *dispatcher) forwardBuffered(id string, response *upstream.Response) (bool, *refusal) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
-	if err != nil {
+	body := responseBuffer{budget: d.gateway.buffers, limit: maxBufferedResponseBytes}
+	defer body.free()
+	if err := body.readAll(response); err != nil {
 		if d.ctx.Err() != nil {
 			return false, d.timedOut()
 		}
@@ -64,9 +59,9 @@
 		d.recordSuccess(id)
 	}
 	d.writeHeader(response)
-	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body.data)))
 	d.writer.WriteHeader(response.Status)
-	_, _ = d.writer.Write(body) // the caller may have disconnected
+	_, _ = d.writer.Write(body.data) // the caller may have disconnected
 	d.record.status = response.Status
 	return false, nil
 }
@@ -112,70 +107,69 @@
 }
 
 // forwardStream forwards events as they arrive. It forwards complete events only, so
-// that a resumed stream continues where the caller's copy ends.
+// that a resumed stream continues where the caller's copy ends. The header is sent with
+// the first of them: until then the request can still be refused, or run elsewhere.
 func (d *dispatcher) forwardStream(id string, response *upstream.Response) (bool, *refusal) {
-	if !d.relay.started {
-		d.writeHeader(response)
-		d.writer.WriteHeader(response.Status)
-		d.record.status = response.Status
-	}
-	flusher, _ := d.writer.(http.Flusher) // the writers of net/http are flushers
-	var pending []byte
-	buffer := make([]byte, streamBufferBytes)
+	buffer := responseBuffer{budget: d.gateway.buffers, limit: maxEventBytes}
+	defer buffer.free()
 	for {
-		n, err := response.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLength(pending)
-		if complete > 0 {
-			d.relay.recordLastEventID(pending[:complete])
-			d.record.recordFirstEvent(d.startedAt)
-			d.relay.started = true
-			if _, writeErr := d.writer.Write(pending[:complete]); writeErr != nil {
+		readErr := buffer.readSome(response)
+		complete := buffer.data[:completeEventsLength(buffer.data)]
+		if err := checkEvents(complete); err != nil {
+			return d.handleBrokenStream(id, err)
+		}
+		if len(complete) > 0 {
+			if err := d.forwardEvents(response, complete); err != nil {
 				return false, nil // the caller disconnected; the end of the context cancels the run
 			}
-			flusher.Flush()
-			pending = append(pending[:0], pending[complete:]...)
+			buffer.consume(len(complete))
 		}
-		if errors.Is(err, io.EOF) && len(pending) == 0 {
+		if errors.Is(readErr, io.EOF) && len(buffer.data) == 0 {
+			d.startStream(response)
 			d.recordSuccess(id)
 			return false, nil
 		}
-		if err != nil {
-			d.relay.started = true // the header has been sent
-			return d.handleBrokenStream(id, err)
+		if readErr != nil {
+			return d.handleBrokenStream(id, readErr)
 		}
 	}
 }
 
-// handleBrokenStream decides what follows a stream that ended early.
-func (d *dispatcher) handleBrokenStream(id string, err error) (bool, *refusal) {
-	if d.ctx.Err() != nil {
-		return false, d.timedOut()
+// startStream sends the header of a stream, once for all of its runs.
+func (d *dispatcher) startStream(response *upstream.Response) {
+	if d.relay.started {
+		return
 	}
-	d.log("Stream broken off.", id, err)
-	return d.handleLostRun(id, "stream broken off", OutcomeConnectionLost)
+	d.relay.started = true
+	d.writeHeader(response)
+	d.writer.WriteHeader(response.Status)
+	d.record.status = response.Status
 }
 
-// completeEventsLength returns the length in bytes of the complete events at the
-// start of data.
-func completeEventsLength(data []byte) int {
-	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+// forwardEvents sends complete events to the caller.
+func (d *dispatcher) forwardEvents(response *upstream.Response, events []byte) error {
+	d.startStream(response)
+	d.relay.lastEventID = lastEventID(events, d.relay.lastEventID)
+	d.record.recordFirstEvent(d.startedAt)
+	if _, err := d.writer.Write(events); err != nil {
+		return err
 	}
-	return end
+	return http.NewResponseController(d.writer).Flush()
 }
 
-// recordLastEventID stores the ID of the last event.
-func (r *relay) recordLastEventID(events []byte) {
-	for line := range strings.Lines(string(events)) {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			r.lastEventID = strings.TrimSpace(value)
-		}
+// handleBrokenStream decides what follows a stream that ended early or holds bytes that
+// are no event.
+func (d *dispatcher) handleBrokenStream(id string, err error) (bool, *refusal) {
+	if d.ctx.Err() != nil {
+		return false, d.timedOut()
+	}
+	d.log("Stream broken off.", id, err)
+	outcome := OutcomeFailed
+	var incomplete *upstream.IncompleteResponseError
+	if errors.Is(err, io.EOF) || errors.As(err, &incomplete) {
+		outcome = OutcomeConnectionLost
 	}
+	return d.handleLostRun(id, "stream broken off", outcome)
 }
 
 func discardBody(response *upstream.Response) (int64, error) {
