Entry hosts: recognise responses without end

What callers saw: the first 16 MiB of a body without end as the engine's complete answer. Cause: readUnary read up to its limit and took that for the end; headers could have 10 MB, the default of net/http.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -73,6 +73,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      callBufferBytes,
 		WriteBufferSize:     callBufferBytes,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -15,6 +15,8 @@
 	streamBufferBytes = 4 << 10
 	maxEventBytes     = 1 << 20
 	maxUnaryBytes     = 16 << 20
+	// maxHeaderBytes bounds a response header.
+	maxHeaderBytes = 64 << 10
 	// drainTimeout bounds the wait for the end of the HTTP body after the last
 	// event. A connection can be reused only after its body was read to the end.
 	drainTimeout = 100 * time.Millisecond
@@ -92,11 +94,14 @@
 		body = make([]byte, length)
 		_, err = io.ReadFull(s.response.Body, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(s.response.Body, maxUnaryBytes))
+		body, err = io.ReadAll(io.LimitReader(s.response.Body, maxUnaryBytes+1))
 	}
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
+	if len(body) > maxUnaryBytes {
+		return nil, &ProtocolError{Detail: "response too large"}
+	}
 	s.complete, s.atEOF = true, true
 	return body, nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -24,6 +24,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxResponseBytes is the size to which a response body is truncated.
 	maxResponseBytes = 64 << 20
+	// maxHeaderBytes bounds a response header.
+	maxHeaderBytes   = 64 << 10
 	idleConnsPerHost = 32
 	idleConnTimeout  = 30 * time.Second
 )
@@ -72,6 +74,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
 		base:      "http://" + address,
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -22,6 +22,8 @@
 	idleConnsPerHost = 256
 	// maxResponseBytes bounds a response, which is buffered in memory as a whole.
 	maxResponseBytes = 8 << 20
+	// maxHeaderBytes bounds a response header.
+	maxHeaderBytes = 64 << 10
 	// headerRequestID carries the request ID to workers.
 	headerRequestID = "X-Request-Id"
 	// HeaderIdempotencyKey carries the caller's idempotency key to workers.
@@ -71,6 +73,8 @@
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return &Client{http: client, transport: transport, credential: credential}
