Cut the connection of a caller that left, and bound the wait for a body

What callers saw: one that had half-closed and still read got an empty 200 that no worker had given; one whose body did not arrive completely was waited for without a bound. Cause: refuse returned without a response once the context had ended, and net/http completes such a response as 200. The body had no read deadline. Change: a caller that left is cut off (ErrAbortHandler); the body has the request's deadline and is refused with 408 then; a caller that leaves within its body is logged as gone. Conclusion: found by testing each way to leave at each place.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -143,14 +144,22 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	controller := http.NewResponseController(in.writer)
+	_ = controller.SetReadDeadline(in.deadline) // the writers of net/http support it
 	body, err := io.ReadAll(http.MaxBytesReader(in.writer, in.httpRequest.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The read deadline stays: net/http reads the rest of a body before it responds.
+		return &refusal{status: http.StatusRequestTimeout, reason: "body not received in time"}
+	case err != nil && presence.Left(in.httpRequest.Context()):
+		return &refusal{status: http.StatusBadRequest, reason: reasonCallerGone}
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
 	}
+	_ = controller.SetReadDeadline(time.Time{}) // as above
 	in.body = body
 	return nil
 }
@@ -234,9 +243,10 @@
 // refuse responds with an error of the gateway itself.
 func (in *inbound) refuse(r *refusal) {
 	in.record.status, in.record.reason = r.status, r.reason
-	if in.httpRequest.Context().Err() != nil {
+	// The time-out of a body ends the context, too, though the caller may be there.
+	if in.httpRequest.Context().Err() != nil && r.status != http.StatusRequestTimeout {
 		in.record.status = statusCallerGone
-		return
+		panic(http.ErrAbortHandler) // a return without a response would be an empty 200
 	}
 	header := in.writer.Header()
 	if r.retryAfter > 0 {
--- a/tests/gateway/leaving_callers_test.go
+++ b/tests/gateway/leaving_callers_test.go
@@ -55,11 +55,32 @@
 	}
 }
 
+// Guards against a success that no worker gave: a host that had noticed a half-close
+// returned without a response, and net/http sent an empty 200.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.newRawWorker("ledger", func(conn net.Conn, _ *http.Request) { untilClosed(conn) })
+	caller := f.dialHost(0)
+	caller.send(t, "/lookup/1", "half-closed", "")
+	f.waitFor("in progress", func() bool { return f.hosts[0].State().InFlight == 1 })
+	if err := caller.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		return // the host has closed the connection
+	}
+	defer response.Body.Close()
+	if response.StatusCode < 500 {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
 // place is a place at which a request waits or moves on.
 type place struct {
 	path, model string
 	// prepare makes requests wait there. The worker counts what reaches it; nil if none
-	// is to be reached.
+	// is to be reached. Without prepare, the caller sends a half of its body.
 	prepare func(f *testFleet) *rawWorker
 }
 
@@ -102,6 +123,7 @@
 			fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Request-Id"))
 		})
 	}},
+	"caller's body": {"/lookup/1", "", nil},
 	"answers that are none": {"/lookup/1", "", func(f *testFleet) *rawWorker {
 		return f.newRawWorker("ledger", func(conn net.Conn, _ *http.Request) {
 			time.Sleep(150 * time.Millisecond)
@@ -127,9 +149,17 @@
 
 func testLeaving(t *testing.T, place place, leave func(*rawCaller) error) {
 	f := newTestFleet(t, 1)
-	worker := place.prepare(f)
+	var worker *rawWorker
 	caller := f.dialHost(0)
-	caller.send(t, place.path, "leaves", place.model)
+	request := rawRequest(place.path, "leaves", place.model, "body")
+	if place.prepare == nil {
+		request = request[:len(request)-2] // half of the body
+	} else {
+		worker = place.prepare(f)
+	}
+	if _, err := caller.Write(request); err != nil {
+		t.Fatal(err)
+	}
 	f.waitFor("in progress", func() bool { return f.hosts[0].State().InFlight == 1 })
 	time.Sleep(100 * time.Millisecond)
 	if err := leave(caller); err != nil {
@@ -152,6 +182,24 @@
 	}
 }
 
+// Guards against a request whose body never comes: it was waited for without a bound, by
+// a caller that was cut off without a close also after its deadline.
+func TestUnfinishedBodyIsRefusedAtTheDeadline(t *testing.T) {
+	f := newTestFleet(t, 1)
+	caller := f.dialHost(0)
+	request := rawRequest("/withdraw/1", "half", "", "the whole body")
+	if _, err := caller.Write(request[:len(request)-5]); err != nil {
+		t.Fatal(err)
+	}
+	const deadline = 3500 * time.Millisecond // of rawRequest
+	if err := caller.SetReadDeadline(time.Now().Add(deadline + maxWorkAfterLeaving)); err != nil {
+		t.Fatal(err)
+	}
+	if status := caller.receive(t); status != http.StatusRequestTimeout || f.runCount("half") != 0 {
+		t.Errorf("status %d, %d runs, want 408 and none", status, f.runCount("half"))
+	}
+}
+
 // minAdapterCallInterval is the shortest time between two calls of a request for an
 // adapter.
 const minAdapterCallInterval = 80 * time.Millisecond
