--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/presence/presencetest"
 )
 
 // connect returns both ends of a TCP connection on loopback.
@@ -31,22 +33,10 @@
 	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
 }
 
-// waysToLeave are the ways in which a caller can end a connection.
-var waysToLeave = map[string]func(caller *net.TCPConn) error{
-	"close": (*net.TCPConn).Close,
-	"reset": func(caller *net.TCPConn) error {
-		if err := caller.SetLinger(0); err != nil {
-			return err
-		}
-		return caller.Close()
-	},
-	"half-close": (*net.TCPConn).CloseWrite,
-}
-
 // Guards against work for callers that had left (GONE): each way to leave is seen, also
 // behind bytes that nobody has read.
 func TestLeftSeesEachWayToLeave(t *testing.T) {
-	for name, leave := range waysToLeave {
+	for name, leave := range presencetest.WaysToLeave() {
 		for _, unread := range []string{"", "request that is not read"} {
 			t.Run(name+"/"+unread, func(t *testing.T) { testLeft(t, leave, unread) })
 		}
@@ -95,7 +85,7 @@
 // A caller that nobody looks at is noticed within half a second, also behind bytes after
 // which net/http no longer reads.
 func TestWatcherNoticesWithinHalfASecond(t *testing.T) {
-	for name, leave := range waysToLeave {
+	for name, leave := range presencetest.WaysToLeave() {
 		t.Run(name, func(t *testing.T) {
 			caller, host := connect(t)
 			ctx := watchedContext(t, host)
--- a/tests/gateway/leaving_callers_test.go
+++ b/tests/gateway/leaving_callers_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/presence/presencetest"
 )
 
 // maxWorkAfterLeaving is the rule's bound on work for a caller that has left, counted
@@ -15,14 +17,14 @@
 // Guards against sending a request that the host reads after its caller has left (GONE):
 // callers give up because a host without processor time does not read them.
 func TestUnreadRequestOfCallerThatLeftIsNotSent(t *testing.T) {
-	for name, leave := range waysToLeave {
+	for name, leave := range presencetest.WaysToLeave() {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/kept connection %v", name, kept), func(t *testing.T) { testUnread(t, leave, kept) })
 		}
 	}
 }
 
-func testUnread(t *testing.T, leave func(*rawCaller) error, kept bool) {
+func testUnread(t *testing.T, leave func(*net.TCPConn) error, kept bool) {
 	f := newTestFleet(t, 1)
 	if got := f.send(0, http.MethodPost, "/withdraw/1", "first", ""); got.status != 200 { // opens a connection to a worker
 		t.Fatalf("status %d", got.status)
@@ -40,7 +42,7 @@
 		caller = f.dialHost(0)
 	}
 	caller.send(t, "/withdraw/1", "unread", "")
-	if err := leave(caller); err != nil {
+	if err := leave(caller.TCPConn); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(maxWorkAfterLeaving + 100*time.Millisecond)
@@ -141,13 +143,13 @@
 // request waits and for each way to leave.
 func TestWorkEndsWhenCallerLeaves(t *testing.T) {
 	for where, place := range places {
-		for how, leave := range waysToLeave {
+		for how, leave := range presencetest.WaysToLeave() {
 			t.Run(where+"/"+how, func(t *testing.T) { testLeaving(t, place, leave) })
 		}
 	}
 }
 
-func testLeaving(t *testing.T, place place, leave func(*rawCaller) error) {
+func testLeaving(t *testing.T, place place, leave func(*net.TCPConn) error) {
 	f := newTestFleet(t, 1)
 	var worker *rawWorker
 	caller := f.dialHost(0)
@@ -162,7 +164,7 @@
 	}
 	f.waitFor("in progress", func() bool { return f.hosts[0].State().InFlight == 1 })
 	time.Sleep(100 * time.Millisecond)
-	if err := leave(caller); err != nil {
+	if err := leave(caller.TCPConn); err != nil {
 		t.Fatal(err)
 	}
 	left := time.Now()
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -177,25 +177,6 @@
 	return response.StatusCode
 }
 
-// waysToLeave are the ways in which a caller can end its request.
-var waysToLeave = map[string]func(c *rawCaller) error{
-	"close": func(c *rawCaller) error { return c.Close() },
-	"reset": func(c *rawCaller) error {
-		if err := c.SetLinger(0); err != nil {
-			return err
-		}
-		return c.Close()
-	},
-	"half-close": func(c *rawCaller) error { return c.CloseWrite() },
-	"close behind further bytes": func(c *rawCaller) error {
-		if _, err := io.WriteString(c, "\r\n"); err != nil {
-			return err
-		}
-		time.Sleep(20 * time.Millisecond) // the bytes and the close arrive one after the other
-		return c.Close()
-	},
-}
-
 // metric returns the value of a host's counter, summed over its labels.
 func (f *testFleet) metric(host int, name string) float64 {
 	f.t.Helper()
