--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,9 +33,12 @@
 
 // testFleet is a fleet of hosts with a store and workers.
 type testFleet struct {
-	t             *testing.T
-	store         *platformtest.Store
-	hosts         []*testHost
+	t     *testing.T
+	store *platformtest.Store
+	hosts []*testHost
+	// listening are the addresses of the hosts that take callers; used by stopHost.
+	listening     []string
+	listeningMu   sync.Mutex
 	engine        *platformtest.Worker
 	ledgers       []*platformtest.Worker
 	configVersion int
@@ -166,6 +171,9 @@
 		h.done <- err
 	}()
 	f.hosts = append(f.hosts, h)
+	f.listeningMu.Lock()
+	f.listening = append(f.listening, s.Listen)
+	f.listeningMu.Unlock()
 	f.t.Cleanup(func() {
 		for _, other := range f.hosts {
 			other.stop() // all at once, since each shutdown takes a moment
@@ -179,6 +187,33 @@
 	return h
 }
 
+// stopHost stops the host at a position of listening, gracefully, and puts a new one there
+// once it is ready.
+func (f *testFleet) stopHost(position int) {
+	f.listeningMu.Lock()
+	address := f.listening[position]
+	f.listening[position] = f.listening[1-position]
+	f.listeningMu.Unlock()
+	for _, h := range f.hosts {
+		if h.settings.Listen == address {
+			h.stop()
+		}
+	}
+	replacement := f.startHost(fmt.Sprintf("host-%d", len(f.hosts)))
+	f.waitFor("replacement ready", func() bool { return replacement.State().Ready })
+	f.listeningMu.Lock()
+	defer f.listeningMu.Unlock()
+	f.listening = f.listening[:2]
+	f.listening[position] = replacement.settings.Listen
+}
+
+// readyHost returns the address of a host that takes callers.
+func (f *testFleet) readyHost() string {
+	f.listeningMu.Lock()
+	defer f.listeningMu.Unlock()
+	return f.listening[rand.IntN(2)]
+}
+
 // waitReady waits until all hosts are ready and know the upstreams.
 func (f *testFleet) waitReady() {
 	f.t.Helper()
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -20,9 +20,14 @@
 	address string
 	answer  func(conn net.Conn, request *http.Request)
 
-	mu       sync.Mutex
-	arrivals []time.Time // of complete requests
-	open     int         // connections with a request that is not answered yet
+	mu   sync.Mutex
+	runs []*rawRun
+}
+
+// rawRun is a request that reached a worker completely.
+type rawRun struct {
+	id           string
+	began, ended time.Time // ended is zero while the worker is busy with the request
 }
 
 // newRawWorker starts a worker and makes it the only one of the plain service, or the
@@ -76,9 +81,9 @@
 			answerControl(conn, request)
 			continue
 		}
-		w.begin()
+		run := w.begin(request.Header.Get("Request-Id"))
 		w.answer(conn, request)
-		w.end()
+		w.end(run)
 	}
 }
 
@@ -92,33 +97,52 @@
 	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
-func (w *rawWorker) begin() {
+func (w *rawWorker) begin(id string) *rawRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run := &rawRun{id: id, began: time.Now()}
+	w.runs = append(w.runs, run)
+	return run
+}
+
+func (w *rawWorker) end(run *rawRun) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, time.Now())
-	w.open++
+	run.ended = time.Now()
 }
 
-func (w *rawWorker) end() {
+// runsSoFar returns the runs; those in progress count as ended now.
+func (w *rawWorker) runsSoFar() []rawRun {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.open--
+	runs := make([]rawRun, len(w.runs))
+	for i, run := range w.runs {
+		runs[i] = *run
+		if run.ended.IsZero() {
+			runs[i].ended = time.Now()
+		}
+	}
+	return runs
 }
 
 // atWork returns the number of requests that the worker is still busy with.
 func (w *rawWorker) atWork() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.open
+	count := 0
+	for _, run := range w.runs {
+		if run.ended.IsZero() {
+			count++
+		}
+	}
+	return count
 }
 
 // arrived returns the number of requests that reached the worker since a time.
 func (w *rawWorker) arrived(since time.Time) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	count := 0
-	for _, at := range w.arrivals {
-		if at.After(since) {
+	for _, run := range w.runsSoFar() {
+		if run.began.After(since) {
 			count++
 		}
 	}
--- a/tests/integration/leaving_test.go
+++ b/tests/integration/leaving_test.go
@@ -18,10 +18,7 @@
 func TestRunEndsWhenCallerLeaves(t *testing.T) {
 	f := startFleet(t, nil)
 	population := f.Population()
-	key, model := "", population.Models[0]
-	for _, workspace := range population.Workspaces {
-		key = workspace.Key
-	}
+	key, model := f.Deployment.CallerKeys["curators"][0], population.Models[0]
 	if res := sendChat(t, population.Hosts[0], key, model, "warm up", true, 4); res.status != 200 {
 		t.Fatalf("status %d", res.status)
 	}
