One place for the limits of transports and for the watch of a server's callers

Change: internal/transport; presence.Watch sets both; the callers' listener in one line. Conclusion: a limit or a watch can no longer be half set.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/arbutusbank/arbutusbank/internal/liveness"
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 const (
@@ -65,17 +66,12 @@
 }
 
 func newTransport(idleConns int) *http.Transport {
-	return &http.Transport{
-		DialContext:         liveness.NewDialer(dialTimeout).DialContext,
-		MaxIdleConns:        idleConns,
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      callBufferBytes,
-		WriteBufferSize:     callBufferBytes,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	t := transport.New(liveness.NewDialer(dialTimeout).DialContext, idleConns, idleConnTimeout)
+	t.MaxIdleConns = idleConns
+	t.DisableCompression = true
+	t.ReadBufferSize = callBufferBytes
+	t.WriteBufferSize = callBufferBytes
+	return t
 }
 
 // Address returns the engine's address, which may differ from the one dialled.
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -15,8 +15,6 @@
 	streamBufferBytes = 4 << 10
 	maxEventBytes     = 1 << 20
 	maxUnaryBytes     = 16 << 20
-	// maxHeaderBytes bounds a response header.
-	maxHeaderBytes = 64 << 10
 	// drainTimeout bounds the wait for the end of the HTTP body after the last
 	// event. A connection can be reused only after its body was read to the end.
 	drainTimeout = 100 * time.Millisecond
--- a/internal/engine/unending_test.go
+++ b/internal/engine/unending_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 // Guards against responses without end: the part of a body that was read up to the limit
@@ -36,7 +38,7 @@
 func TestResponseHeaderLimit(t *testing.T) {
 	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		echoID(w, r)
-		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeaderBytes))
+		w.Header().Set("X-Long", strings.Repeat("x", 2*transport.MaxHeaderBytes))
 	})
 	stream, err := client.Infer(context.Background(), call("long"))
 	var unknown *UnknownOutcomeError
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -65,17 +65,13 @@
 // without metrics.
 func (g *Gateway) listen() (listeners, error) {
 	var l listeners
-	listenCallers := g.options.ListenCallers
-	if listenCallers == nil {
-		listenCallers = net.Listen
-	}
 	for _, item := range []struct {
 		address  string
 		target   *net.Listener
 		optional bool
-		listen   func(network, address string) (net.Listener, error)
+		listen   func(network, address string) (net.Listener, error) // nil: net.Listen
 	}{
-		{address: g.settings.Listen, target: &l.callers, listen: listenCallers},
+		{address: g.settings.Listen, target: &l.callers, listen: g.options.ListenCallers},
 		{address: g.settings.ReadyListen, target: &l.ready},
 		{address: g.settings.PeerListen, target: &l.peers},
 		{address: g.settings.MetricsListen, target: &l.metrics, optional: true},
@@ -112,9 +108,9 @@
 	var group conc.WaitGroup
 	g.startBackground(background, &group, l)
 	server := &http.Server{
-		Handler: presence.NewWatcher().Handler(g), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: presence.ConnContext,
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	presence.Watch(server)
 	serving := make(chan error, 1)
 	go func() { serving <- server.Serve(l.callers) }()
 	select {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -111,14 +111,15 @@
 }
 
 func (h *Host) newServer() *http.Server {
-	return &http.Server{
-		Handler:           presence.NewWatcher().Handler(h.handler),
-		ConnContext:       presence.ConnContext,
+	server := &http.Server{
+		Handler:           h.handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         h.idleConns.observe,
 	}
+	presence.Watch(server)
+	return server
 }
 
 // startLoops starts the control goroutine and the other background loops.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 const (
@@ -24,8 +26,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxResponseBytes is the size to which a response body is truncated.
 	maxResponseBytes = 64 << 20
-	// maxHeaderBytes bounds a response header.
-	maxHeaderBytes   = 64 << 10
 	idleConnsPerHost = 32
 	idleConnTimeout  = 30 * time.Second
 )
@@ -70,17 +70,11 @@
 
 // NewClient returns a client of the platform at address, an "IP:port".
 func NewClient(address string) *Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	calls := transport.New((&net.Dialer{Timeout: dialTimeout}).DialContext, idleConnsPerHost, idleConnTimeout)
 	return &Client{
 		base:      "http://" + address,
-		http:      &http.Client{Transport: transport},
-		transport: transport,
+		http:      &http.Client{Transport: calls},
+		transport: calls,
 	}
 }
 
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -24,8 +24,8 @@
 // Error implements error.
 func (e *LeftError) Error() string { return "the caller has left" }
 
-// ConnContext is the ConnContext of an http.Server whose requests are watched.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+// connContext is the ConnContext of a server whose requests are watched.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
 		return ctx
@@ -39,7 +39,7 @@
 
 // Left reports whether the context of a request has ended, or its caller has closed,
 // half-closed or reset the connection. In the second case it ends the request's context.
-// It makes one system call and does not block. Without a Watcher it knows the context only.
+// It makes one system call and does not block. Where Watch was not called it knows the context only.
 func Left(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -73,11 +73,11 @@
 func watchedContext(t *testing.T, host net.Conn) context.Context {
 	t.Helper()
 	contexts := make(chan context.Context)
-	handler := NewWatcher().Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	handler := newWatcher().handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		contexts <- r.Context()
 		<-t.Context().Done()
 	}))
-	r := httptest.NewRequestWithContext(ConnContext(context.Background(), host), http.MethodGet, "/", nil)
+	r := httptest.NewRequestWithContext(connContext(context.Background(), host), http.MethodGet, "/", nil)
 	go handler.ServeHTTP(httptest.NewRecorder(), r)
 	return <-contexts
 }
--- a/internal/presence/watcher.go
+++ b/internal/presence/watcher.go
@@ -12,24 +12,29 @@
 // looked at: with the time to cancel the work it stays below half a second.
 const lookInterval = 200 * time.Millisecond
 
-// Watcher ends the contexts of requests whose callers have left. It is safe for
-// concurrent use. The server's ConnContext must be that of this package.
-type Watcher struct {
+// Watch makes a server end the contexts of requests whose callers have left, and Left work
+// for them. It replaces the server's ConnContext and is called before the server serves.
+func Watch(server *http.Server) {
+	server.ConnContext = connContext
+	server.Handler = newWatcher().handler(server.Handler)
+}
+
+// watcher looks at the connections of requests in progress. It is safe for concurrent use.
+type watcher struct {
 	mu       sync.Mutex
 	requests map[*request]struct{}
 	timer    *time.Timer // runs while there are requests
 }
 
-// NewWatcher returns a Watcher without requests.
-func NewWatcher() *Watcher {
-	w := &Watcher{requests: map[*request]struct{}{}}
+func newWatcher() *watcher {
+	w := &watcher{requests: map[*request]struct{}{}}
 	w.timer = time.AfterFunc(lookInterval, w.look)
 	w.timer.Stop()
 	return w
 }
 
-// Handler returns a handler that watches the callers of the requests that next serves.
-func (w *Watcher) Handler(next http.Handler) http.Handler {
+// handler returns a handler that watches the callers of the requests that next serves.
+func (w *watcher) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, r *http.Request) {
 		raw, ok := r.Context().Value(connectionKey{}).(syscall.RawConn)
 		if !ok {
@@ -45,7 +50,7 @@
 	})
 }
 
-func (w *Watcher) add(r *request) {
+func (w *watcher) add(r *request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.requests) == 0 {
@@ -54,14 +59,14 @@
 	w.requests[r] = struct{}{}
 }
 
-func (w *Watcher) remove(r *request) {
+func (w *watcher) remove(r *request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.requests, r)
 }
 
 // look looks at the connections of all requests in progress.
-func (w *Watcher) look() {
+func (w *watcher) look() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for r := range w.requests {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 const (
@@ -22,8 +24,6 @@
 	idleConnsPerHost = 256
 	// maxResponseBytes bounds a response, which is buffered in memory as a whole.
 	maxResponseBytes = 8 << 20
-	// maxHeaderBytes bounds a response header.
-	maxHeaderBytes = 64 << 10
 	// headerRequestID carries the request ID to workers.
 	headerRequestID = "X-Request-Id"
 	// HeaderIdempotencyKey carries the caller's idempotency key to workers.
@@ -68,16 +68,10 @@
 // the dialer's Timeout.
 func NewClient(credential string, dialer *net.Dialer) *Client {
 	dialer.Timeout = dialTimeout
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
-	return &Client{http: client, transport: transport, credential: credential}
+	calls := transport.New(dialer.DialContext, idleConnsPerHost, idleConnTimeout)
+	calls.DisableCompression = true
+	client := &http.Client{Transport: calls, CheckRedirect: noRedirect}
+	return &Client{http: client, transport: calls, credential: credential}
 }
 
 // noRedirect makes the client return a redirect instead of following it.
