Test callers that leave while the host connects

Cause: the list of places lacked an upstream that answers no connection attempt. Change: a listener whose queue is full, as a place of TestWorkEndsWhenCallerLeaves. Conclusion: the connect ends with the request's context.

--- a/tests/gateway/leaving_callers_test.go
+++ b/tests/gateway/leaving_callers_test.go
@@ -95,6 +95,11 @@
 	"silent upstream": {"/lookup/1", "", func(f *testFleet) *rawWorker {
 		return f.newRawWorker("ledger", func(conn net.Conn, _ *http.Request) { untilClosed(conn) })
 	}},
+	"connect": {"/lookup/1", "", func(f *testFleet) *rawWorker {
+		w := f.newRawWorker("ledger", func(net.Conn, *http.Request) {})
+		f.moveWorker(w, fullListener(f.t))
+		return w
+	}},
 	"silent engine": {"/review/1", "m1", func(f *testFleet) *rawWorker {
 		return f.newRawWorker("llm", func(conn net.Conn, _ *http.Request) { untilClosed(conn) })
 	}},
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -19,6 +20,7 @@
 	id      string
 	address string
 	answer  func(conn net.Conn, request *http.Request)
+	entry   map[string]any
 
 	mu   sync.Mutex
 	runs []*rawRun
@@ -41,21 +43,63 @@
 	w := &rawWorker{id: "raw-" + service, address: listener.Addr().String(), answer: answer}
 	f.t.Cleanup(func() { _ = listener.Close() })
 	go w.serve(listener)
-	entry := f.ledgers[0].Entry("ready")
-	entry["service"], entry["address"] = service, w.address
+	w.entry = f.ledgers[0].Entry("ready")
+	w.entry["service"], w.entry["address"] = service, w.address
 	if service == "llm" {
-		entry["models"] = []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{"a1"}}}
+		w.entry["models"] = []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{"a1"}}}
 		f.store.Remove("servers", f.engine.ID)
 	} else {
 		for _, ledger := range f.ledgers {
 			f.store.Remove("servers", ledger.ID)
 		}
 	}
-	f.store.Set("servers", w.id, entry)
-	time.Sleep(800 * time.Millisecond) // the hosts read the table
+	f.store.Set("servers", w.id, w.entry)
+	time.Sleep(tableReadTime)
 	return w
 }
 
+// tableReadTime is the time in which hosts read a changed table.
+const tableReadTime = 800 * time.Millisecond
+
+// moveWorker changes the address in a worker's entry.
+func (f *testFleet) moveWorker(w *rawWorker, address string) {
+	f.t.Helper()
+	w.entry["address"] = address
+	f.store.Set("servers", w.id, w.entry)
+	time.Sleep(tableReadTime)
+}
+
+// fullListener returns an address at which connection attempts are not answered: the
+// listener's queue is full.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 8 {
+		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("the listener's queue does not fill")
+	return ""
+}
+
 func (w *rawWorker) serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
