Buffer at most 8 MiB of a response, as entry hosts do

Cause: the time until a body without end is recognised grows with the limit; the gateway's was twice that of the entry hosts for the same kind of response. Change: 8 MiB. Evidence: the test passes with the race detector; the bound and the case are unchanged. Conclusion: one limit for responses of plain services.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -10,7 +10,7 @@
 const (
 	// maxBufferedResponseBytes bounds a response that is buffered until it is
 	// complete.
-	maxBufferedResponseBytes = 16 << 20
+	maxBufferedResponseBytes = 8 << 20
 	// maxEventBytes bounds an event of a stream, which is buffered until it is complete.
 	maxEventBytes = 1 << 20
 	// unsharedBufferBytes is what each response may buffer whatever the others do.
