Choose the soak's hosts by its seed

Cause: the host of each request came from the process's own random source, so that a seed did not name the run. Conclusion: the hosts a caller turns to follow from the seed; the timing is the machine's.

--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -207,11 +206,11 @@
 	f.listening[position] = replacement.settings.Listen
 }
 
-// readyHost returns the address of a host that takes callers.
-func (f *testFleet) readyHost() string {
+// readyHost returns the address of the host at a position of listening.
+func (f *testFleet) readyHost(position int) string {
 	f.listeningMu.Lock()
 	defer f.listeningMu.Unlock()
-	return f.listening[rand.IntN(2)]
+	return f.listening[position]
 }
 
 // waitReady waits until all hosts are ready and know the upstreams.
--- a/tests/gateway/leaving_soak_test.go
+++ b/tests/gateway/leaving_soak_test.go
@@ -128,12 +128,13 @@
 		id := fmt.Sprintf("caller-%d-%d", caller, n)
 		stay := time.Duration(random.IntN(500)) * time.Millisecond
 		leave := presencetest.WaysToLeave()[names[random.IntN(len(names))]]
-		s.sendAndLeave(rawRequest(request[0], id, request[1], "body"), id, stay, leave)
+		address := s.fleet.readyHost(random.IntN(2))
+		s.sendAndLeave(address, rawRequest(request[0], id, request[1], "body"), id, stay, leave)
 	}
 }
 
-func (s *leavingSoak) sendAndLeave(request []byte, id string, stay time.Duration, leave func(*net.TCPConn) error) {
-	conn, err := net.Dial("tcp", s.fleet.readyHost())
+func (s *leavingSoak) sendAndLeave(address string, request []byte, id string, stay time.Duration, leave func(*net.TCPConn) error) {
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		time.Sleep(20 * time.Millisecond) // the host's listener has just been closed
 		return
