Exchange suspected requests with acknowledgement before one is sent

Cause (behind the red TestCrashingRequestIsQuarantined, by reading and by simulation): a host announced that it was about to run a suspect, waited 100 ms and sent it, whether the announcement had arrived or not. A list of running suspects that was overtaken by a newer one replaced it, and a suspect that was already running gave no sign of it, so that one with a lower fingerprint joined it. A crash of both is attributed to neither. A crash was told to other hosts after the caller had its answer and might repeat the request there. Change: heartbeats carry lists both ways before a suspect is sent, lists are numbered, runs that were sent say so and are joined by none, and a crash is told before the answer. Ruled out: a wrong verdict of the quarantine; it is unchanged.

--- a/internal/host/engines.go
+++ b/internal/host/engines.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -21,8 +22,14 @@
 // because a changed boot identifier or a refused connection reveals a crash.
 func (u engineUpstreams) ConnectionLost(address string) { u.h.monitor.PollNow(address) }
 
-// SuspectStarting implements inference.Upstreams.
-func (u engineUpstreams) SuspectStarting() { u.h.broadcastSuspicions() }
+// ExchangeSuspicions implements inference.Upstreams. A heartbeat carries the suspicions
+// and isolated runs of this host, its reply those of the other host.
+func (u engineUpstreams) ExchangeSuspicions(ctx context.Context) {
+	start := u.h.clock.Now()
+	if failed := u.h.callHosts(ctx, u.h.mesh.Heartbeat); failed > 0 {
+		u.h.log.Info("Suspicions not exchanged with all hosts.", "failed", failed, "took_ms", u.h.clock.Now().Sub(start).Milliseconds())
+	}
+}
 
 // handleConnectionRefused records a refused connection and polls the engine at
 // once.
@@ -74,8 +81,8 @@
 // crash could not be attributed to either.
 func (h *Host) recordEngineCrash(address, boot string) {
 	quarantined := h.suspects.Crashed(h.clock.Now(), address, boot)
-	suspicions, isolated := h.suspicionMessages()
-	if quarantined || len(suspicions) > 0 || len(isolated) > 0 {
+	message := h.suspicionMessages()
+	if quarantined || len(message.Suspicions) > 0 || len(message.IsolatedRuns) > 0 {
 		h.broadcastSuspicions()
 	}
 }
--- a/internal/host/messages.go
+++ b/internal/host/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -52,7 +53,7 @@
 		SlotReleased:   func(*peerpb.SlotRelease) { h.requestSlotSync() },
 		Demand:         h.handleDemand,
 		Suspect: func(m *peerpb.Suspicions) {
-			h.mergeSuspicions(m.GetFrom().GetHost(), m.GetSuspicions(), m.GetIsolatedRuns())
+			h.mergeSuspicions(m.GetFrom(), m)
 		},
 		UpstreamSign: func(m *peerpb.UpstreamSigns) { h.mergeSigns(m.GetSigns()) },
 		Status:       h.handleStatus,
@@ -76,7 +77,8 @@
 			Workspace: spare.Workspace, Tokens: spare.Tokens, DemandPerS: spare.Demand,
 		})
 	}
-	message.Suspicions, message.IsolatedRuns = h.suspicionMessages()
+	suspicions := h.suspicionMessages()
+	message.Suspicions, message.IsolatedRuns, message.RunsSequence = suspicions.Suspicions, suspicions.IsolatedRuns, suspicions.RunsSequence
 	if signs := h.signs.Load(); signs != nil {
 		message.Signs = *signs
 	}
@@ -107,34 +109,39 @@
 		})
 	}
 	h.limiter.Observe(host, spares)
-	h.mergeSuspicions(host, message.GetSuspicions(), message.GetIsolatedRuns())
+	h.mergeSuspicions(message.GetFrom(), message)
 	h.mergeSigns(message.GetSigns())
 }
 
-// suspicionMessages returns this host's suspicions and isolated runs as messages.
-func (h *Host) suspicionMessages() ([]*peerpb.Suspicion, []*peerpb.IsolatedRun) {
+// suspicionMessages returns this host's suspicions and isolated runs as a message.
+func (h *Host) suspicionMessages() *peerpb.Suspicions {
 	suspicions, runs := h.suspects.Export(h.clock.Now(), peer.MaxSuspicions)
-	messages := make([]*peerpb.Suspicion, 0, len(suspicions))
+	message := &peerpb.Suspicions{RunsSequence: runs.Sequence}
 	for _, s := range suspicions {
-		messages = append(messages, &peerpb.Suspicion{
+		message.Suspicions = append(message.Suspicions, &peerpb.Suspicion{
 			Fingerprint: s.Fingerprint[:], Upstream: s.Crash.Upstream, BootId: s.Crash.Boot,
 			Isolated: s.Isolated, Cleared: s.Cleared, LeftMs: s.TTL.Milliseconds(),
 		})
 	}
-	isolated := make([]*peerpb.IsolatedRun, 0, len(runs))
-	for _, run := range runs {
-		isolated = append(isolated, &peerpb.IsolatedRun{Fingerprint: run.Fingerprint[:], Upstream: run.Upstream})
+	for _, run := range runs.Runs {
+		message.IsolatedRuns = append(message.IsolatedRuns, &peerpb.IsolatedRun{
+			Fingerprint: run.Fingerprint[:], Upstream: run.Upstream, Begun: run.Begun,
+		})
 	}
-	return messages, isolated
+	return message
+}
+
+// suspicionLists are the parts of a message about suspected requests.
+type suspicionLists interface {
+	GetSuspicions() []*peerpb.Suspicion
+	GetIsolatedRuns() []*peerpb.IsolatedRun
+	GetRunsSequence() uint64
 }
 
 // mergeSuspicions merges the suspicions and isolated runs of another host.
-func (h *Host) mergeSuspicions(from string, messages []*peerpb.Suspicion, isolated []*peerpb.IsolatedRun) {
-	if len(messages) == 0 && len(isolated) == 0 {
-		return
-	}
-	suspicions := make([]retry.Suspicion, 0, len(messages))
-	for _, m := range messages {
+func (h *Host) mergeSuspicions(from *peerpb.Sender, lists suspicionLists) {
+	suspicions := make([]retry.Suspicion, 0, len(lists.GetSuspicions()))
+	for _, m := range lists.GetSuspicions() {
 		suspicions = append(suspicions, retry.Suspicion{
 			Fingerprint: fingerprintOf(m.GetFingerprint()),
 			Crash:       retry.Crash{Upstream: m.GetUpstream(), Boot: m.GetBootId()},
@@ -142,11 +149,13 @@
 			TTL: time.Duration(m.GetLeftMs()) * time.Millisecond,
 		})
 	}
-	runs := make([]retry.IsolatedRun, 0, len(isolated))
-	for _, m := range isolated {
-		runs = append(runs, retry.IsolatedRun{Fingerprint: fingerprintOf(m.GetFingerprint()), Upstream: m.GetUpstream()})
+	runs := retry.RunList{Sequence: lists.GetRunsSequence()}
+	for _, m := range lists.GetIsolatedRuns() {
+		runs.Runs = append(runs.Runs, retry.IsolatedRun{
+			Fingerprint: fingerprintOf(m.GetFingerprint()), Upstream: m.GetUpstream(), Begun: m.GetBegun(),
+		})
 	}
-	h.suspects.Merge(h.clock.Now(), from, suspicions, runs)
+	h.suspects.Merge(h.clock.Now(), incarnationName(from.GetHost(), from.GetIncarnation()), suspicions, runs)
 }
 
 func fingerprintOf(data []byte) retry.Fingerprint {
@@ -158,9 +167,11 @@
 // broadcastSuspicions sends this host's suspicions and isolated runs to other hosts
 // without waiting for the next heartbeat.
 func (h *Host) broadcastSuspicions() {
-	suspicions, isolated := h.suspicionMessages()
+	message := h.suspicionMessages()
 	h.broadcast(func(ctx context.Context, host string) error {
-		return h.mesh.Suspect(ctx, host, &peerpb.Suspicions{Suspicions: suspicions, IsolatedRuns: isolated})
+		return h.mesh.Suspect(ctx, host, &peerpb.Suspicions{
+			Suspicions: message.Suspicions, IsolatedRuns: message.IsolatedRuns, RunsSequence: message.RunsSequence,
+		})
 	})
 }
 
@@ -168,20 +179,27 @@
 // Failed deliveries are only logged: heartbeats carry the same information to all
 // hosts.
 func (h *Host) broadcast(send func(ctx context.Context, host string) error) {
+	h.background.Go(func() { h.callHosts(context.Background(), send) })
+}
+
+// callHosts calls at most maxBroadcastTargets hosts at once and returns when all calls
+// have ended, at the latest after broadcastTimeout. It returns the number of failed calls.
+func (h *Host) callHosts(ctx context.Context, call func(ctx context.Context, host string) error) (failed int64) {
 	targets := rendezvous.FirstK(h.settings.Host, h.mesh.Hosts(), maxBroadcastTargets)
-	h.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
-		defer cancel()
-		var group conc.WaitGroup
-		for _, host := range targets {
-			group.Go(func() {
-				if err := send(ctx, host); err != nil {
-					h.log.V(1).Info("Message not delivered.", "to", host, "error", err.Error())
-				}
-			})
-		}
-		group.Wait()
-	})
+	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
+	defer cancel()
+	var failures atomic.Int64
+	var group conc.WaitGroup
+	for _, host := range targets {
+		group.Go(func() {
+			if err := call(ctx, host); err != nil {
+				failures.Add(1)
+				h.log.V(1).Info("Message not delivered.", "to", host, "error", err.Error())
+			}
+		})
+	}
+	group.Wait()
+	return failures.Load()
 }
 
 // demandPeers sends demand for weights to their placement owner. It implements
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -26,11 +26,12 @@
 	// crashed an upstream, is offered to a replica again. It may run only where
 	// no other suspect runs.
 	suspectRetryDelay = 50 * time.Millisecond
-	// crashDelay is the delay after a lost connection and before a suspect runs
-	// again, in which the crash is confirmed and other hosts are notified.
-	// Without it, suspects of several hosts ran at one upstream at the same time,
-	// and a crashing request took down four engines instead of two.
+	// crashDelay is the delay after a lost connection in which the crash is
+	// confirmed.
 	crashDelay = 100 * time.Millisecond
+	// crashReportTimeout bounds the time that the answer to a request which may have
+	// crashed an upstream waits for other hosts.
+	crashReportTimeout = 600 * time.Millisecond
 	// requeueDelay is the delay before a request queues again because the
 	// replica that it was dispatched to is no longer available.
 	requeueDelay = 20 * time.Millisecond
@@ -70,9 +71,10 @@
 	ConnectionRefused(address string)
 	// ConnectionLost records that the connection of a running request broke.
 	ConnectionLost(address string)
-	// SuspectStarting announces that a request that may have crashed an upstream
-	// is about to run again.
-	SuspectStarting()
+	// ExchangeSuspicions exchanges the suspicions and isolated runs with the other
+	// hosts. It returns when they have replied, after a bound that covers hosts which
+	// do not reply, or when ctx ends.
+	ExchangeSuspicions(ctx context.Context)
 }
 
 // Options are the dependencies of an Executor.
@@ -253,11 +255,17 @@
 			x.tried = x.tried[:0]
 			return true, nil
 		}
-		if x.announceSuspect(ctx, run); run.Preempted(x.options.Clock.Now()) {
+		if run.Isolated() {
+			x.options.Upstreams.ExchangeSuspicions(ctx)
+		}
+		if !run.Begin(x.options.Clock.Now()) {
 			run.Ended()
 			clock.Sleep(ctx, suspectRetryDelay+rand.N(suspectRetryDelay)) // the next iteration detects an ended context
 			continue
 		}
+		if run.Isolated() {
+			x.options.Logger.Info("Suspect runs alone.", "request", x.request.ID, "fingerprint", x.fingerprint.String(), "upstream", address)
+		}
 		err := x.callEngine(ctx, address)
 		x.settleAttempt(address, err)
 		x.finishRun(run, address, err)
@@ -265,12 +273,26 @@
 			return false, nil
 		}
 		if refusal, done := x.afterFailure(ctx, address, err); done {
+			x.reportCrash(err)
 			return false, refusal
 		}
 		x.tried = append(x.tried, address)
 	}
 }
 
+// reportCrash tells the other hosts of the crash that a request may have caused before
+// its caller is answered: the caller may repeat the request at any of them.
+func (x *execution) reportCrash(err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	if classify(err) == retry.ConnectionLost {
+		clock.Sleep(ctx, crashDelay)
+	}
+	if x.options.Suspects.Suspected(x.options.Clock.Now(), x.fingerprint) {
+		x.options.Upstreams.ExchangeSuspicions(ctx)
+	}
+}
+
 // afterFailure decides whether a failed attempt is retried. If not, it returns
 // the refusal and true.
 func (x *execution) afterFailure(ctx context.Context, address string, err error) (*problem.Error, bool) {
@@ -304,15 +326,6 @@
 	return nil, false
 }
 
-// announceSuspect notifies other hosts that a suspect is about to run in
-// isolation, and waits until they can have received the notification.
-func (x *execution) announceSuspect(ctx context.Context, run *retry.Run) {
-	if run.Isolated() {
-		x.options.Upstreams.SuspectStarting()
-		clock.Sleep(ctx, crashDelay) // the call detects an ended context
-	}
-}
-
 // boolToBytes returns a count for retry.Attempt.BytesToCaller, of which only
 // zero or not zero matters.
 func boolToBytes(started bool) int64 {
--- a/internal/retry/exchange.go
+++ b/internal/retry/exchange.go
@@ -16,16 +16,16 @@
 	DefaultExportLimit = 24
 )
 
-// peerRuns holds the isolated runs that a peer last announced.
+// peerRuns holds the newest list of a peer's isolated runs.
 type peerRuns struct {
-	runs    []IsolatedRun
+	RunList
 	expires time.Time
 }
 
 // Export returns up to limit suspicions, and all isolated runs of this host, to
 // send to peers. Recently changed records come first; others fill the rest in
 // random order, so that a restarted peer receives them eventually.
-func (s *Suspects) Export(now time.Time, limit int) ([]Suspicion, []IsolatedRun) {
+func (s *Suspects) Export(now time.Time, limit int) ([]Suspicion, RunList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var recent, older []exportedRecord
@@ -65,17 +65,18 @@
 	return result
 }
 
-func (s *Suspects) isolatedRuns() []IsolatedRun {
+func (s *Suspects) isolatedRuns() RunList {
+	s.runSequence++
 	runs := make([]IsolatedRun, 0, len(s.isolated))
 	for f, run := range s.isolated {
-		runs = append(runs, IsolatedRun{Fingerprint: f, Upstream: run.upstream})
+		runs = append(runs, IsolatedRun{Fingerprint: f, Upstream: run.upstream, Begun: run.begun})
 	}
-	return runs
+	return RunList{Sequence: s.runSequence, Runs: runs}
 }
 
 // Merge adds the suspicions that a peer exported. The peer's isolated runs replace
-// those that it announced before.
-func (s *Suspects) Merge(now time.Time, peer string, suspicions []Suspicion, runs []IsolatedRun) {
+// those of its older lists. peer names a process: one that restarts counts anew.
+func (s *Suspects) Merge(now time.Time, peer string, suspicions []Suspicion, runs RunList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range suspicions {
@@ -90,14 +91,17 @@
 	s.notify()
 }
 
-// mergeRuns replaces a peer's isolated runs and removes expired ones of others.
-func (s *Suspects) mergeRuns(now time.Time, peer string, runs []IsolatedRun) {
+// mergeRuns replaces a peer's isolated runs, unless a newer list was merged, and removes
+// expired ones of others.
+func (s *Suspects) mergeRuns(now time.Time, peer string, list RunList) {
 	for name, entry := range s.peerRuns {
-		if name == peer || !entry.expires.After(now) {
+		if name != peer && !entry.expires.After(now) {
 			delete(s.peerRuns, name)
 		}
 	}
-	if len(runs) > 0 {
-		s.peerRuns[peer] = peerRuns{runs: runs[:min(len(runs), maxSuspects)], expires: now.Add(peerRunTTL)}
+	if known := s.peerRuns[peer]; list.Sequence != 0 && list.Sequence < known.Sequence {
+		return
 	}
+	list.Runs = list.Runs[:min(len(list.Runs), maxSuspects)]
+	s.peerRuns[peer] = peerRuns{RunList: list, expires: now.Add(peerRunTTL)}
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -235,8 +235,8 @@
 		suspicions, isolated := hosts[1-i].Export(now, 10)
 		s.Merge(now, "other", suspicions, isolated)
 	}
-	if runs[0].Preempted(now) || !runs[1].Preempted(now) {
-		t.Errorf("preempted: %v and %v, want false and true", runs[0].Preempted(now), runs[1].Preempted(now))
+	if first, second := runs[0].Begin(now), runs[1].Begin(now); !first || second {
+		t.Errorf("begun: %v and %v, want true and false", first, second)
 	}
 }
 
--- a/internal/retry/run.go
+++ b/internal/retry/run.go
@@ -12,6 +12,7 @@
 	fingerprint Fingerprint
 	upstream    string
 	isolated    bool
+	begun       bool // see Begin; guarded by suspects.mu
 }
 
 // Completed ends a run whose answer was complete. It clears all crashes recorded
@@ -58,27 +59,37 @@
 // it must then be the only suspect at its upstream. The value never changes.
 func (r *Run) Isolated() bool { return r.isolated }
 
-// Preempted reports whether the run must be given up because a peer runs the
-// same request at any upstream, or a suspect with a lower fingerprint at the same
-// upstream. Two hosts may permit suspects at one upstream before either has
-// received the other's announcement. Each announces its run, waits until the
-// announcement must have arrived, and then checks Preempted. If both ran, a crash
-// could not be attributed to either request.
-func (r *Run) Preempted(now time.Time) bool {
+// Begin reports whether a permitted run may be sent now; it is called right before the
+// request is sent. A run that may not is given up, because a peer runs the same request at
+// any upstream, or a suspect at the same upstream that was sent already or has a lower
+// fingerprint. If both ran, a crash could not be attributed to either request.
+//
+// Two hosts may permit suspects at one upstream before either knows of the other's run.
+// Each exchanges its isolated runs with the others after Permit and before Begin, in both
+// directions. Whatever the order of messages, one of the two then knows the other's run
+// and gives way: a run that was not announced when the other one was sent finds it in the
+// reply to its own announcement.
+func (r *Run) Begin(now time.Time) bool {
 	s := r.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !r.isolated {
+	if r.isolated && s.preempted(now, r) {
 		return false
 	}
+	r.begun = true
+	return true
+}
+
+// preempted reports whether the run must give way to a run of a peer.
+func (s *Suspects) preempted(now time.Time, r *Run) bool {
 	hasPriority := func(other IsolatedRun) bool {
 		if other.Fingerprint == r.fingerprint {
 			return true
 		}
-		return other.Upstream == r.upstream && bytes.Compare(other.Fingerprint[:], r.fingerprint[:]) < 0
+		return other.Upstream == r.upstream && (other.Begun || bytes.Compare(other.Fingerprint[:], r.fingerprint[:]) < 0)
 	}
 	for _, peer := range s.peerRuns {
-		if peer.expires.After(now) && slices.ContainsFunc(peer.runs, hasPriority) {
+		if peer.expires.After(now) && slices.ContainsFunc(peer.Runs, hasPriority) {
 			return true
 		}
 	}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -45,9 +45,11 @@
 	suspects map[Fingerprint]*suspect
 	runs     map[string]map[*Run]struct{} // by upstream
 	isolated map[Fingerprint]*Run         // runs of suspects at this host
-	peerRuns map[string]peerRuns          // by peer
-	lostRuns map[*Run]time.Time           // time of the loss; no crash reported yet
-	changed  chan struct{}                // nil while nothing waits for a change
+	peerRuns map[string]peerRuns          // by peer process
+	// runSequence numbers the exported lists of isolated runs.
+	runSequence uint64
+	lostRuns    map[*Run]time.Time // time of the loss; no crash reported yet
+	changed     chan struct{}      // nil while nothing waits for a change
 }
 
 // NewSuspects returns an empty Suspects and registers its metrics.
@@ -207,6 +209,13 @@
 	return false
 }
 
+// Suspected reports whether a request may run isolated only.
+func (s *Suspects) Suspected(now time.Time, f Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isSuspect(now, f)
+}
+
 // lookup returns the suspect with unexpired records of a fingerprint, or nil.
 func (s *Suspects) lookup(now time.Time, f Fingerprint) *suspect {
 	entry, ok := s.suspects[f]
@@ -257,7 +266,7 @@
 func (s *Suspects) blockedByPeer(now time.Time, f Fingerprint, upstream string) bool {
 	blocks := func(run IsolatedRun) bool { return run.Upstream == upstream || run.Fingerprint == f }
 	for _, peer := range s.peerRuns {
-		if peer.expires.After(now) && slices.ContainsFunc(peer.runs, blocks) {
+		if peer.expires.After(now) && slices.ContainsFunc(peer.Runs, blocks) {
 			return true
 		}
 	}
--- a/internal/retry/suspicion.go
+++ b/internal/retry/suspicion.go
@@ -73,6 +73,15 @@
 type IsolatedRun struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Upstream    string      `json:"upstream"`
+	Begun       bool        `json:"begun"` // the request was sent; see Run.Begin
+}
+
+// RunList holds the isolated runs of a host at one moment. Lists of a host may arrive in
+// another order than they were made; those with the higher Sequence are newer. Sequence 0
+// stands for hosts that do not number their lists.
+type RunList struct {
+	Sequence uint64        `json:"sequence"`
+	Runs     []IsolatedRun `json:"runs"`
 }
 
 // record states that a request was running at an upstream when it crashed.
