Follow what upstreams say of themselves in their responses

Cause: nothing read Server-Leaving or Retry-After of a worker. A worker that leaves said so in its answers and got requests until its entry changed; one that asked for a pause got a request with each selection, as it looked idle. Change: internal/statement keeps, for each incarnation, that it leaves and until when it wants nothing from this host, on the boot clock. It takes precedence over entries, views and health, holds for requests, retries, resumed streams, reports and orders, and is looked at again right before the first byte. Leaving is relayed through the exchange with the coordinator; an engine that several hosts may send nothing counts as no replica. If all replicas pause, the request waits within the route's objective or is refused at once with the time that is left. Metrics gateway_upstream_statements_total and gateway_sends_withheld_total; /state lists statements. Ruled out: a health check in place of statements; probes are priced and lag.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,15 @@
 	Unverified                      // not provably the upstream's response to this request
 )
 
+// Statement is what an upstream says of itself in a response, whatever it responds to.
+type Statement struct {
+	// Leaving reports that the upstream is shutting down and wants no further requests.
+	Leaving bool
+	// PauseFor is how long from the arrival of the response the upstream wants no requests
+	// from this host; 0: not stated.
+	PauseFor time.Duration
+}
+
 // Protocol translates requests and responses of the users' protocol.
 type Protocol interface {
 	// Parse reads a caller's request. It returns an InvalidRequestError.
@@ -59,6 +68,8 @@
 	UpstreamHeader(caller http.Header, send *Attempt) http.Header
 	// Classify returns the class of a response.
 	Classify(requestID string, status int, header http.Header) ResponseClass
+	// Statement returns what the response to a request says of the upstream that sent it.
+	Statement(requestID string, status int, header http.Header) Statement
 	// Misdirected reports whether the status of a NotRun response means that the
 	// upstream lacks the model or is another one, rather than that it is overloaded.
 	Misdirected(status int) bool
--- a/internal/coordinator/adapters.go
+++ b/internal/coordinator/adapters.go
@@ -101,7 +101,7 @@
 		if slices.Contains(e.holdings.Models[request.Model], request.Adapter) {
 			return e, true
 		}
-		if !e.reported || now < e.retryAt {
+		if !e.reported || now < e.retryAt || e.paused || c.fleetState.Paused(e.upstream) {
 			continue
 		}
 		byID[id] = e
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -58,6 +58,8 @@
 type FleetState interface {
 	Config() *catalog.Config // nil until the first configuration is known
 	Upstreams() []*catalog.Upstream
+	// Paused reports whether an upstream told this host to send nothing now.
+	Paused(upstream *catalog.Upstream) bool
 }
 
 // Coordinator places models, sends orders to engines and answers host exchanges while this
@@ -81,6 +83,7 @@
 	storeStarts   []time.Duration
 	estimates     []Estimate
 	poolHosts     []PoolHost
+	leaving       []Incarnation // upstreams that told a host that they leave
 	actions       sync.WaitGroup
 }
 
@@ -112,6 +115,7 @@
 	c.lostRuns = lostRunTracker{}
 	c.estimates = nil
 	c.poolHosts = nil
+	c.leaving = nil
 }
 
 // Hosts returns the hosts that may spend from local shares.
@@ -151,6 +155,7 @@
 	reply.Quarantined = c.lostRuns.quarantined()
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = c.poolHosts
+	reply.Leaving = c.leaving
 	return reply
 }
 
@@ -218,6 +223,7 @@
 	c.demand.expire(now)
 	c.lostRuns.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
+	c.leaving = c.demand.leaving()
 	c.notableLoads = c.demand.notableLoads(c.slots)
 	c.syncEngines(now, upstreams, config)
 	c.updateReachability()
@@ -256,18 +262,20 @@
 	}
 }
 
-// updateReachability marks the engines that several hosts cannot reach.
+// updateReachability marks the engines that several hosts cannot reach, and those that
+// several hosts may send nothing.
 func (c *Coordinator) updateReachability() {
-	counts := c.demand.unreachable()
+	unreachable, paused := c.demand.unreachable(), c.demand.paused()
 	needed := min(unreachableQuorum, len(c.demand.hosts))
 	for id, engine := range c.fleet {
-		unreachable := counts[id] > 0 && counts[id] >= needed
-		if unreachable == engine.unreachable {
+		engine.paused = paused[id] > 0 && paused[id] >= needed
+		down := unreachable[id] > 0 && unreachable[id] >= needed
+		if down == engine.unreachable {
 			continue
 		}
-		engine.unreachable = unreachable
+		engine.unreachable = down
 		engine.changed = true
-		c.log.Info("Engine's reachability changed.", "upstream", id, "down", unreachable, "hosts", counts[id])
+		c.log.Info("Engine's reachability changed.", "upstream", id, "down", down, "hosts", unreachable[id])
 	}
 }
 
@@ -277,7 +285,8 @@
 		if c.activeReports >= maxConcurrentReports {
 			return // the rest is started by the next tick
 		}
-		if engine.settled() || engine.occupied || engine.reportInFlight || engine.upstream.Draining || now < engine.retryAt {
+		if engine.settled() || engine.occupied || engine.reportInFlight || engine.upstream.Draining || now < engine.retryAt ||
+			c.fleetState.Paused(engine.upstream) {
 			continue
 		}
 		engine.reportInFlight = true
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -40,6 +40,9 @@
 	return f.upstreams
 }
 
+// Paused implements FleetState.
+func (f *fakeFleetState) Paused(*catalog.Upstream) bool { return false }
+
 func (f *fakeFleetState) set(upstreams ...*catalog.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 	demand      []ModelDemand
 	running     []RunningCount
 	unreachable []string
+	paused      []string
+	leaving     []Incarnation
 }
 
 // demandTracker collects the demand that hosts report. It is not safe for concurrent use.
@@ -92,6 +95,7 @@
 	t.count(request.Running, 1)
 	t.hosts[request.Host] = hostReport{
 		at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable,
+		paused: request.Paused, leaving: request.Leaving,
 		poolHost: PoolHost{Address: request.Address, DataCenter: request.DataCenter}, large: request.Large,
 	}
 	for _, r := range request.Running {
@@ -125,15 +129,38 @@
 
 // unreachable returns, by upstream, the number of hosts that cannot reach it.
 func (t *demandTracker) unreachable() map[string]int {
+	return t.hostCounts(func(report hostReport) []string { return report.unreachable })
+}
+
+// paused returns, by upstream, the number of hosts that may send it nothing now.
+func (t *demandTracker) paused() map[string]int {
+	return t.hostCounts(func(report hostReport) []string { return report.paused })
+}
+
+// hostCounts returns, by upstream, the number of hosts whose report lists it.
+func (t *demandTracker) hostCounts(listed func(hostReport) []string) map[string]int {
 	counts := map[string]int{}
 	for _, report := range t.hosts {
-		for _, id := range report.unreachable {
+		for _, id := range listed(report) {
 			counts[id]++
 		}
 	}
 	return counts
 }
 
+// leaving returns the upstreams that told any host that they leave.
+func (t *demandTracker) leaving() []Incarnation {
+	var list []Incarnation
+	for _, report := range t.hosts {
+		for _, incarnation := range report.leaving {
+			if !slices.Contains(list, incarnation) {
+				list = append(list, incarnation)
+			}
+		}
+	}
+	return list
+}
+
 // forService returns the demand for the models of a service, by model.
 func (t *demandTracker) forService(now time.Duration, service string) map[string]*Demand {
 	demand := map[string]*Demand{}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -33,6 +33,8 @@
 	retryAt time.Duration
 	// unreachable reports that several hosts cannot reach the engine.
 	unreachable bool
+	// paused reports that the engine told several hosts to send nothing for some time.
+	paused bool
 	// nextRecheck is the earliest time at which a new suspicion is followed up.
 	nextRecheck time.Duration
 	// unexpectedOrders counts the reports that showed orders which were executed although
@@ -147,7 +149,7 @@
 func (e *engineState) plannerView(now time.Duration, running map[string]int) *Engine {
 	engine := &Engine{
 		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Draining: e.upstream.Draining || e.unreachable,
-		Occupied: !e.settled() || e.occupied || now < e.retryAt, Holdings: e.holdings, Reserved: e.reserved(),
+		Occupied: !e.settled() || e.occupied || e.paused || now < e.retryAt, Paused: e.paused, Holdings: e.holdings, Reserved: e.reserved(),
 		Running: running, LoadedAt: e.loadedAt,
 	}
 	if e.loading != nil {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -64,10 +64,20 @@
 	// the view lists.
 	SuspectedUpstreams []string   `json:"doubts,omitempty"`
 	Lost               []LostRuns `json:"lost,omitempty"` // since the last exchange
+	// Leaving are upstreams that told the host that they leave.
+	Leaving []Incarnation `json:"leaving,omitempty"`
+	// Paused are upstreams that told the host to send nothing for some time.
+	Paused []string `json:"paused,omitempty"`
 	// Tables are the revisions of the host's table replicas, by table.
 	Tables map[string]int64 `json:"tables,omitempty"`
 }
 
+// Incarnation identifies one start of an upstream.
+type Incarnation struct {
+	Upstream  string `json:"upstream"`
+	StartedMS int64  `json:"born"` // Unix ms; wire name: born
+}
+
 // Estimate is the expected time until a model is ready.
 type Estimate struct {
 	ModelKey
@@ -131,6 +141,9 @@
 	Tables map[string]table.Update `json:"tables,omitempty"`
 	// Running counts the requests of all other hosts at upstreams with notable load.
 	Running []RunningCount `json:"running,omitempty"`
+	// Leaving are upstreams that told a host that they leave. Their entries may not say so
+	// yet.
+	Leaving []Incarnation `json:"withdrawn,omitempty"`
 }
 
 // AdapterRequest asks the coordinator to load an adapter on an engine that holds its model.
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -193,6 +193,10 @@
 		return OrderRejected, false // decided in an earlier term, or for an earlier incarnation
 	}
 	upstream := engine.upstream
+	if c.fleetState.Paused(upstream) {
+		c.mu.Unlock()
+		return OrderRejected, false // the engine wants nothing from this host now
+	}
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -79,6 +79,7 @@
 	DataCenter string
 	Draining   bool
 	Occupied   bool // an order is in progress or its outcome is unknown
+	Paused     bool // it told hosts to send nothing for some time, so it serves nothing
 	Holdings   catalog.Holdings
 	// Reserved are models whose load is in progress or may still be executed.
 	Reserved []string
--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -238,3 +238,18 @@
 		t.Error("no further replica for 60 concurrent requests")
 	}
 }
+
+// Guards against counting an engine that wants no requests as a replica: its model got no
+// other one, and its callers were refused until the pause had ended.
+func TestPausedEngineIsNoReplica(t *testing.T) {
+	paused := &Engine{ID: "e1", Paused: true, Occupied: true, Holdings: catalog.Holdings{Models: map[string][]string{"m1": nil}, OnDisk: []string{"m1"}}}
+	other := &Engine{ID: "e2", Holdings: catalog.Holdings{Models: map[string][]string{}, OnDisk: []string{"m1"}}}
+	input := PlanInput{
+		Now: time.Minute, Service: testService(2), Engines: []*Engine{paused, other}, StoreStarts: 4,
+		Demand: map[string]*Demand{"m1": {Rate: 2, LastSeen: time.Minute}},
+	}
+	actions := Plan(input)
+	if len(actions) != 1 || actions[0].Load != "m1" || actions[0].Engine != "e2" {
+		t.Errorf("actions %+v, want m1 on e2", actions)
+	}
+}
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -29,7 +29,7 @@
 			of(model).loading++
 		}
 		for model := range engine.Holdings.Models {
-			if !slices.Contains(loading, model) {
+			if !engine.Paused && !slices.Contains(loading, model) {
 				of(model).ready++
 			}
 		}
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -17,9 +17,10 @@
 }
 
 // Candidates returns the upstreams of a service that have the model loaded; model is
-// "" for plain services. Upstreams that are shutting down are left out.
+// "" for plain services. Upstreams that are shutting down, and those that want no requests
+// now, are left out.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
-	now := time.Now()
+	now, paused := time.Now(), r.pauses()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	local := map[string]int{}
@@ -28,11 +29,8 @@
 	}
 	var candidates []Candidate
 	for id, entry := range r.entries {
-		if entry.Service != service || entry.Draining {
-			continue
-		}
-		adapters, loaded := r.loadedAdapters(entry, model)
-		if model != "" && (!loaded || r.isMissing(id, model, "", now)) {
+		adapters, ok := r.serves(entry, service, model, now)
+		if !ok || paused.of(entry) > 0 {
 			continue
 		}
 		candidate := Candidate{
@@ -47,6 +45,16 @@
 	return candidates
 }
 
+// serves reports whether an upstream is one of a service that has the model loaded and is
+// not shutting down. It returns the model's loaded adapters.
+func (r *Registry) serves(entry *catalog.Upstream, service, model string, now time.Time) (adapters []string, ok bool) {
+	if entry.Service != service || entry.Draining {
+		return nil, false
+	}
+	adapters, loaded := r.loadedAdapters(entry, model)
+	return adapters, model == "" || (loaded && !r.isMissing(entry.ID, model, "", now))
+}
+
 // loadedAdapters returns the adapters that an engine has loaded for a model, and
 // whether it has the model. The coordinator's view takes precedence over the engine's
 // own table entry, which lags behind orders.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,6 +19,8 @@
 	maxSends = 4
 	// maxDials bounds the failed connection attempts of a request.
 	maxDials = 6
+	// maxWithheld bounds the choices of an upstream that was withdrawn before the send.
+	maxWithheld = 16
 	// enginePriorityOffset keeps the most urgent engine priorities free for the
 	// system's own work.
 	enginePriorityOffset = 2
@@ -36,7 +38,10 @@
 	// request, runs those after which it may have run, and dials the failed
 	// connection attempts.
 	sends, runs, dials int
-	relay              relay
+	// withheld counts the sends that were given up because of a statement that arrived
+	// after the upstream was chosen.
+	withheld int
+	relay    relay
 }
 
 // dispatch sends the request to upstreams. It returns a refusal if the caller has not
@@ -92,7 +97,7 @@
 // send sends the request to one upstream. again reports that another attempt should
 // follow.
 func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
-	if d.sends >= maxSends || d.dials >= maxDials {
+	if d.sends >= maxSends || d.dials >= maxDials || d.withheld >= maxWithheld {
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams refused", retryAfter: shortRetryAfter}
 	}
 	if d.sends > 0 && !d.gateway.exchanger.retryBudget.Allow(time.Now(), d.service.Name) {
@@ -105,13 +110,18 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
 	d.departure.enter(stageSend)
+	withheld := d.withheld
 	response, err := d.gateway.connections.Do(ctx, d.upstreamRequest(candidate.Upstream))
+	if d.withheld > withheld {
+		return true, nil
+	}
 	if err != nil {
 		return d.handleSendError(id, err)
 	}
 	defer response.Close()
 	d.sends++
 	d.record.sends++
+	d.recordStatement(candidate.Upstream, response)
 	switch d.gateway.protocol.Classify(d.request.ID, response.Status, response.Header) {
 	case call.NotRun:
 		return d.handleNotRun(id, response)
@@ -137,20 +147,32 @@
 	return &upstream.Request{
 		Key: to.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
 		Header: d.gateway.protocol.UpstreamHeader(d.httpRequest.Header, attempt), Body: d.body,
-		BeforeSend: d.beforeSend,
+		BeforeSend: func() bool { return d.beforeSend(to) },
 	}
 }
 
 // beforeSend reports whether the request is still to be sent, once there is a connection
 // to the upstream.
-func (d *dispatcher) beforeSend() bool {
+func (d *dispatcher) beforeSend(to *catalog.Upstream) bool {
 	if presence.Left(d.ctx) {
 		return false
 	}
+	if !d.gateway.registry.BeginSend(to) {
+		d.withheld++
+		d.gateway.metrics.sendsWithheld.Inc()
+		d.gateway.log.Info("Send withheld; the upstream leaves or wants no requests.", "request", d.request.ID, "upstream", to.ID)
+		return false
+	}
 	d.departure.countSend()
 	return true
 }
 
+// recordStatement records what a response says of its upstream.
+func (d *dispatcher) recordStatement(from *catalog.Upstream, response *upstream.Response) {
+	said := d.gateway.protocol.Statement(d.request.ID, response.Status, response.Header)
+	d.gateway.recordStatement(from, said)
+}
+
 func (d *dispatcher) priority() int {
 	if d.workspace != nil && d.workspace.Priority >= 0 {
 		return d.workspace.Priority
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -186,6 +186,7 @@
 		Epoch: epoch, ViewVersion: version,
 		Demand: e.demand.takeDemand(time.Now()), Running: e.registry.RunningCounts(),
 		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Lost: e.quarantine.takeReport(time.Now()), Tables: map[string]int64{},
+		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 	}
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/call"
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
@@ -52,7 +53,9 @@
 	DecodeConfig   DecodeConfig
 	DecodeUpstream DecodeUpstream
 	Protocol       call.Protocol
-	Engines        coordinator.Engines
+	// Engines returns the client of engines, which passes on what they say of themselves
+	// in their responses.
+	Engines func(onStatement func(*catalog.Upstream, call.Statement)) coordinator.Engines
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// ListenCallers opens the callers' listener. Optional; the default is net.Listen.
@@ -97,7 +100,7 @@
 	if !s.isLarge() {
 		g.elector.ClaimDelay = claimDelay
 	}
-	g.coordinator = coordinator.New(s.Host, g.elector, fleetState{g.registry, g.config}, options.Engines, options.Log)
+	g.coordinator = coordinator.New(s.Host, g.elector, fleetState{g.registry, g.config}, options.Engines(g.recordStatement), options.Log)
 	g.exchanger = &exchanger{
 		settings: &g.settings, log: options.Log, elector: g.elector, coordinator: g.coordinator, config: g.config.current.Load,
 		registry: g.registry, demand: newDemandTracker(), balances: allowance.NewBalances(), retryBudget: NewRetryBudget(s.retryLimits()),
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -9,7 +9,9 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
+	"github.com/arbutusbank/arbutusbank/internal/statement"
 )
 
 // serveInternal serves the readiness check or the metrics until the listener is closed.
@@ -54,6 +56,8 @@
 	ViewEpoch          int64        `json:"view_epoch"`
 	ViewVersion        int64        `json:"view_version"`
 	Upstreams          int          `json:"upstreams"`
+	// Statements are what upstreams have said of themselves.
+	Statements []statement.Dump `json:"statements"`
 }
 
 // State returns the state dump.
@@ -63,5 +67,6 @@
 		Host: g.settings.Host, Ready: g.Ready(), ConfigVersion: g.config.version(), ConfigAgeMS: g.config.age().Milliseconds(),
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
+		Statements: g.registry.statements.Dump(clock.SinceBoot()),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	afterCallerLeft prometheus.Histogram
 	adapterCalls    prometheus.Counter
 	stalls          prometheus.Histogram
+	statements      *prometheus.CounterVec
+	sendsWithheld   prometheus.Counter
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -42,11 +44,17 @@
 			Name: "gateway_stall_seconds", Help: "How late the host read a byte that it had written to itself at a tick.",
 			Buckets: []float64{.01, .05, .25, .5, 1, 3},
 		}),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gateway_upstream_statements_total", Help: "Responses in which an upstream said that it leaves (leaving) or wants no requests for some time (pause).",
+		}, []string{"kind"}),
+		sendsWithheld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_sends_withheld_total", Help: "Requests that were not sent to the chosen upstream because of such a statement.",
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls,
+	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld,
 		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
 		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -10,7 +10,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/statement"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -42,6 +44,10 @@
 	onRemove func(id string) // called when an incarnation has ended
 	// Replica is the copy of the upstreams' table; it calls Apply.
 	Replica table.Replica
+	// statements are what upstreams have said of themselves; they take precedence over
+	// the table.
+	statements *statement.Tracker
+	now        func() time.Duration // the boot clock, for statements
 
 	mu            sync.Mutex
 	entries       map[string]*catalog.Upstream
@@ -62,7 +68,7 @@
 // upstream has ended.
 func NewRegistry(decode DecodeUpstream, onRemove func(id string), log logr.Logger) *Registry {
 	r := &Registry{
-		decode: decode, log: log, onRemove: onRemove,
+		decode: decode, log: log, onRemove: onRemove, statements: statement.NewTracker(), now: clock.SinceBoot,
 		entries: map[string]*catalog.Upstream{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
 		missingModels: map[requestKey]time.Time{},
@@ -137,6 +143,7 @@
 		return
 	}
 	delete(r.missing, row.Key)
+	entry.Draining = entry.Draining || r.statements.Leaving(statement.IncarnationOf(entry))
 	known := r.entries[row.Key]
 	r.entries[row.Key] = entry
 	switch {
@@ -215,6 +222,7 @@
 
 // ApplyExchange applies the coordinator's view and the request counts of other hosts.
 func (r *Registry) ApplyExchange(reply *coordinator.ExchangeReply) {
+	r.applyLeaving(reply.Leaving)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.otherHosts = map[string]int{}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -34,17 +34,47 @@
 	if d.isEngine() {
 		return d.selectEngine()
 	}
-	candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
-	candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
-	if candidate == nil && len(candidates) > 0 && d.runs == 0 {
-		clock.Sleep(d.ctx, notRunRetryDelay)
-		clear(d.tried)
-		candidate = selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+	for {
+		candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
+		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		if candidate == nil && len(candidates) > 0 && d.runs == 0 {
+			clock.Sleep(d.ctx, notRunRetryDelay)
+			clear(d.tried)
+			continue
+		}
+		if candidate != nil {
+			return candidate, nil
+		}
+		waited, refused := d.waitForPaused("")
+		if refused != nil {
+			return nil, refused
+		}
+		if !waited {
+			return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: shortRetryAfter}
+		}
+	}
+}
+
+// waitForPaused waits until an upstream that wants no requests now takes requests again.
+// waited is false if there is no such upstream. It returns a refusal with the time at which
+// one does if that is beyond the route's objective: the caller, or another host, can use
+// the time better.
+func (d *dispatcher) waitForPaused(model string) (waited bool, refused *refusal) {
+	resumesIn, paused := d.gateway.registry.ResumesIn(d.service.Name, model)
+	if !paused {
+		return false, nil
+	}
+	left := min(d.route.Objective-time.Since(d.startedAt), d.remainingWait())
+	if resumesIn > left {
+		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams want no requests yet", retryAfter: max(shortRetryAfter, resumesIn)}
 	}
-	if candidate == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: shortRetryAfter}
+	if !clock.Sleep(d.ctx, resumesIn) {
+		return false, d.timedOut()
 	}
-	return candidate, nil
+	if d.runs == 0 {
+		clear(d.tried)
+	}
+	return true, nil
 }
 
 // selectEngine selects an engine that has the model and the adapter loaded. Each pass
@@ -56,6 +86,15 @@
 		changed := d.gateway.registry.Changed()
 		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
 		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		if len(candidates) == 0 {
+			waited, refused := d.waitForPaused(d.request.Model)
+			if refused != nil {
+				return nil, refused
+			}
+			if waited {
+				continue
+			}
+		}
 		switch {
 		case candidate == nil && len(candidates) > 0 && d.runs == 0:
 			clock.Sleep(d.ctx, notRunRetryDelay)
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -92,7 +92,7 @@
 		Settings: settings, Log: log, DroppedLogLines: func() float64 { return float64(sink.Dropped()) },
 		Reader: store, Committer: store, ConfigTable: platform.OperatorTable, UpstreamTable: platform.WorkerTable,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream, Protocol: platform.Protocol{},
-		Engines: platform.NewWorkerClient(), ReadyPath: platform.ReadyPath,
+		Engines: platform.NewWorkerClient, ReadyPath: platform.ReadyPath,
 	})
 	return g.Run(ctx)
 }
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -159,7 +159,7 @@
 		Settings: s, Log: testLogger().WithName(name), Reader: store, Committer: store,
 		ConfigTable: platform.OperatorTable, UpstreamTable: platform.WorkerTable,
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
-		Protocol: platform.Protocol{}, Engines: platform.NewWorkerClient(), ReadyPath: platform.ReadyPath,
+		Protocol: platform.Protocol{}, Engines: platform.NewWorkerClient, ReadyPath: platform.ReadyPath,
 		ListenCallers: f.gate.listen,
 	})
 	go func() {
