Believe a response only if it belongs to this send of this request

Cause: a refusal without a request's name was believed, and so was a second copy of a request's own refusal that a worker wrote when the request had been sent to it again on the same kept connection: the host told the caller 'not run' or sent it once more while it ran. A response to an earlier request ended the next one with 502 although its own followed. Change: responses must name the request. A connection remembers the requests refused on it and does not carry these again. Responses to other requests are skipped, two at most; the connection is closed after the answer. Metric gateway_foreign_responses_total. Ruled out: closing each connection after a refusal; new connections are dear to upstreams.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -48,6 +48,7 @@
 	Answered   ResponseClass = iota // response of the upstream, to be forwarded
 	NotRun                          // the upstream states that it did not run the request
 	Unverified                      // not provably the upstream's response to this request
+	Foreign                         // names another request
 )
 
 // Statement is what an upstream says of itself in a response, whatever it responds to.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,6 +19,8 @@
 	maxSends = 4
 	// maxDials bounds the failed connection attempts of a request.
 	maxDials = 6
+	// maxForeignResponses bounds the responses to other requests that are skipped.
+	maxForeignResponses = 2
 	// maxWithheld bounds the choices of an upstream that was withdrawn before the send.
 	maxWithheld = 16
 	// enginePriorityOffset keeps the most urgent engine priorities free for the
@@ -121,11 +123,16 @@
 	defer response.Close()
 	d.sends++
 	d.record.sends++
+	class, err := d.ownResponse(id, response)
+	if err != nil {
+		d.runs++
+		return d.handleLostAnswer(id, err)
+	}
 	d.recordStatement(candidate.Upstream, response)
-	switch d.gateway.protocol.Classify(d.request.ID, response.Status, response.Header) {
+	switch class {
 	case call.NotRun:
 		return d.handleNotRun(id, response)
-	case call.Unverified:
+	case call.Unverified, call.Foreign:
 		d.runs++
 		return d.handleLostRun(id, "answer not understood", OutcomeFailed)
 	}
@@ -134,6 +141,23 @@
 	return d.forward(id, response)
 }
 
+// ownResponse skips responses to other requests, which an upstream may send again, and
+// returns the class of the response to this request. An error means that none came; the
+// request may have run.
+func (d *dispatcher) ownResponse(id string, response *upstream.Response) (call.ResponseClass, error) {
+	for skipped := 0; ; skipped++ {
+		class := d.gateway.protocol.Classify(d.request.ID, response.Status, response.Header)
+		if class != call.Foreign || skipped == maxForeignResponses {
+			return class, nil
+		}
+		d.gateway.metrics.foreignResponses.Inc()
+		d.gateway.log.Info("Response to another request skipped.", "request", d.request.ID, "upstream", id, "status", response.Status)
+		if err := response.SkipForeign(); err != nil {
+			return class, err
+		}
+	}
+}
+
 func (d *dispatcher) upstreamRequest(to *catalog.Upstream) *upstream.Request {
 	attempt := &call.Attempt{
 		Request: d.request, Deadline: time.Until(d.deadline), Upstream: to, Priority: -1, LastEventID: d.relay.lastEventID,
@@ -145,7 +169,7 @@
 		attempt.Priority = min(maxPriority, enginePriorityOffset+d.priority())
 	}
 	return &upstream.Request{
-		Key: to.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
+		Key: to.ID, ID: d.request.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
 		Header: d.gateway.protocol.UpstreamHeader(d.httpRequest.Header, attempt), Body: d.body,
 		BeforeSend: func() bool { return d.beforeSend(to) },
 	}
@@ -200,6 +224,11 @@
 	d.sends++
 	d.record.sends++
 	d.runs++
+	return d.handleLostAnswer(id, err)
+}
+
+// handleLostAnswer decides what follows a send whose connection ended before the answer.
+func (d *dispatcher) handleLostAnswer(id string, err error) (bool, *refusal) {
 	if d.ctx.Err() != nil {
 		return false, d.timedOut()
 	}
@@ -210,6 +239,7 @@
 
 // handleNotRun records that an upstream stated that it did not run the request.
 func (d *dispatcher) handleNotRun(id string, response *upstream.Response) (bool, *refusal) {
+	response.RecordRefused()
 	if err := response.Discard(); err != nil {
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	stalls          prometheus.Histogram
 	statements      *prometheus.CounterVec
 	sendsWithheld   prometheus.Counter
+
+	foreignResponses prometheus.Counter
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -50,11 +52,14 @@
 		sendsWithheld: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gateway_sends_withheld_total", Help: "Requests that were not sent to the chosen upstream because of such a statement.",
 		}),
+		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_foreign_responses_total", Help: "Responses of upstreams that belonged to another request and were skipped.",
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld,
+	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses,
 		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
 		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,25 +53,37 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
 
-// take returns a reusable idle connection, nil if there is none.
-func (p *Pool) take(key string) *conn {
+// take returns a reusable idle connection on which the request id was not refused, nil if
+// there is none.
+func (p *Pool) take(key, id string) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[key] = list
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if id != "" && slices.Contains(c.refused, id) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		if now.Before(c.expiresAt) && c.isReusable() {
+			p.setIdle(key, list)
 			return c
 		}
 		c.close()
 	}
-	delete(p.idle, key)
+	p.setIdle(key, list)
 	return nil
 }
 
+func (p *Pool) setIdle(key string, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, key)
+		return
+	}
+	p.idle[key] = list
+}
+
 func (p *Pool) put(key string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,11 +123,7 @@
 			}
 			c.close()
 		}
-		if len(kept) == 0 {
-			delete(p.idle, key)
-			continue
-		}
-		p.idle[key] = kept
+		p.setIdle(key, kept)
 	}
 }
 
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,11 +28,16 @@
 	// read. Longer ones are written concurrently, because an upstream may respond
 	// before it has read the body.
 	maxInlineBodyBytes = 16 << 10
+	// maxRefused is the number of refused requests after which a connection is closed.
+	maxRefused = 64
 )
 
 // Request is a request to an upstream. Method, target and body are sent unchanged.
 type Request struct {
-	Key     string // identifies the upstream's incarnation
+	Key string // identifies the upstream's incarnation
+	// ID identifies the request, also when it is sent again. A connection on which the
+	// upstream refused it is not used for it again: see Response.RecordRefused.
+	ID      string
 	Address string // IP:port
 	Method  string
 	Target  string // path and query as received from the caller
@@ -64,6 +70,13 @@
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
+// ForeignResponseError reports a response that belongs to another request and that can't be
+// skipped.
+type ForeignResponseError struct{}
+
+// Error implements error.
+func (e *ForeignResponseError) Error() string { return "response to another request" }
+
 // HeaderTooLongError reports a response header of more than Limit bytes.
 type HeaderTooLongError struct{ Limit int }
 
@@ -100,6 +113,8 @@
 	reader    *bufio.Reader
 	expiresAt time.Time
 	closeOnce sync.Once
+	refused   []string // IDs of the requests that the upstream refused on this connection
+	tainted   bool     // bytes that belong to no request were received
 }
 
 func newConn(socket net.Conn) *conn {
@@ -130,6 +145,8 @@
 	conn           *conn
 	pool           *Pool
 	key            string
+	id             string // of the request
+	method         string
 	bodyWrite      chan error // result of writing a long body; nil for short ones
 	stopCancelHook func() bool
 	complete       bool
@@ -139,7 +156,7 @@
 // connection, which cancels the request. Do returns a DialError or an UnwantedError if
 // nothing was sent, and an IncompleteResponseError if the request may have run.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
-	connection := p.take(request.Key)
+	connection := p.take(request.Key, request.ID)
 	fresh := connection == nil
 	if fresh {
 		dialed, err := dial(ctx, request.Address)
@@ -153,12 +170,15 @@
 		return nil, &UnwantedError{Address: request.Address}
 	}
 	stopCancelHook := context.AfterFunc(ctx, connection.close)
-	response := &Response{conn: connection, pool: p, key: request.Key, stopCancelHook: stopCancelHook, NewConnection: fresh}
+	response := &Response{
+		conn: connection, pool: p, key: request.Key, id: request.ID, method: request.Method,
+		stopCancelHook: stopCancelHook, NewConnection: fresh,
+	}
 	if err := response.send(request); err != nil {
 		response.Close()
 		return nil, &IncompleteResponseError{Cause: err}
 	}
-	if err := response.readHeader(request.Method); err != nil {
+	if err := response.readHeader(); err != nil {
 		response.Close()
 		return nil, &IncompleteResponseError{Cause: err}
 	}
@@ -197,11 +217,11 @@
 }
 
 // readHeader reads the header of the final response; it skips interim ones.
-func (r *Response) readHeader(method string) error {
+func (r *Response) readHeader() error {
 	r.conn.limiter.left = maxHeaderBytes
 	defer func() { r.conn.limiter.left = -1 }()
 	for {
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: r.method})
 		if err != nil {
 			return err
 		}
@@ -214,6 +234,36 @@
 	return nil
 }
 
+// SkipForeign discards this response, which belongs to another request, and reads the header
+// of the one that follows it on the connection. The connection is not used again. It returns
+// an IncompleteResponseError if no further response follows; the request may have run.
+func (r *Response) SkipForeign() error {
+	r.conn.tainted = true
+	if r.Length < 0 && !slices.Contains(r.head.TransferEncoding, "chunked") {
+		return &IncompleteResponseError{HeaderReceived: true, Cause: &ForeignResponseError{}}
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, maxDiscardBytes)); err != nil {
+		return err
+	}
+	if !r.complete {
+		return &IncompleteResponseError{HeaderReceived: true, Cause: &ForeignResponseError{}}
+	}
+	r.complete = false
+	if err := r.readHeader(); err != nil {
+		return &IncompleteResponseError{Cause: err}
+	}
+	return nil
+}
+
+// RecordRefused records that the upstream stated that it did not run the request. If the
+// request is sent to the upstream again, it goes out on another connection: on this one, a
+// second copy of the refusal would look like the response to the second send.
+func (r *Response) RecordRefused() {
+	if r.id != "" {
+		r.conn.refused = append(r.conn.refused, r.id)
+	}
+}
+
 // Read reads the body. It returns io.EOF at the end of a complete body, and an
 // IncompleteResponseError if the connection ended before.
 func (r *Response) Read(p []byte) (int, error) {
@@ -246,7 +296,7 @@
 // Close returns the connection to the pool if the response was read completely,
 // otherwise it closes the connection.
 func (r *Response) Close() {
-	if !r.stopCancelHook() || !r.complete || r.head.Close || r.conn.reader.Buffered() > 0 || !r.bodyWriteDone() {
+	if !r.stopCancelHook() || !r.complete || r.head.Close || r.conn.tainted || len(r.conn.refused) >= maxRefused || r.conn.reader.Buffered() > 0 || !r.bodyWriteDone() {
 		r.conn.close()
 		return
 	}
