--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Main targets, on a machine with Go: make demo, make test.
 GO ?= go
 SEED ?= 1
-.PHONY: all build demo test check unit spec faults bench capacity
+# Time for which each fuzz target runs, for example: make fuzz FUZZTIME=5m
+FUZZTIME ?= 2s
+
+.PHONY: all build demo test check unit fuzz spec faults bench capacity
 
 all: build
 
@@ -9,7 +12,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 # Formatter, vet, staticcheck, race-enabled tests, model checks.
-test: check unit spec
+test: check unit fuzz spec
 
 check:
 	@unformatted=$$(gofmt -l cmd internal platform tests); \
@@ -21,6 +24,15 @@
 unit:
 	$(GO) test -race -count=1 -timeout 12m $${RED_TESTS:+-skip "$$RED_TESTS"} ./... ./tests/...
 
+# Fuzz targets for bytes from outside; inputs that fail are kept under testdata/fuzz.
+fuzz:
+	@for target in $$(grep -rloE '^func Fuzz' --include='*_test.go' internal platform | sort -u); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$target); do \
+			$(GO) test ./$$(dirname $$target) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) >fuzz.log 2>&1 || { cat fuzz.log; rm fuzz.log; exit 1; }; \
+			echo "fuzz $$name: $$(grep -oE 'execs: [0-9]+' fuzz.log | tail -1)"; rm -f fuzz.log; \
+		done; \
+	done
+
 # Exhaustive model checks of the core protocols; see spec/.
 spec:
 	./spec/run.sh
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
 const (
@@ -198,11 +199,22 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, c.planPeriod())
 		if c.lease.Held() {
-			c.tick(ctx)
+			c.confined("planning", func() { c.tick(ctx) })
 		}
 	}
 }
 
+// confined calls f and logs a panic in it.
+func (c *Coordinator) confined(task string, f func()) {
+	err := confine.Call(task, func() error {
+		f()
+		return nil
+	})
+	if err != nil {
+		c.log.Error(err, "Panic confined.", "task", task)
+	}
+}
+
 // planPeriod returns the time between two plans.
 func (c *Coordinator) planPeriod() time.Duration {
 	c.mu.Lock()
@@ -294,7 +306,8 @@
 		c.actions.Add(1)
 		go func() {
 			defer c.actions.Done()
-			read := c.refreshReport(ctx, engine)
+			read := false
+			c.confined("reading a report", func() { read = c.refreshReport(ctx, engine) })
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			engine.reportInFlight = false
@@ -349,7 +362,7 @@
 	c.actions.Add(1)
 	go func() {
 		defer c.actions.Done()
-		c.executeAction(ctx, engine, &action)
+		c.confined("placing a model", func() { c.executeAction(ctx, engine, &action) })
 	}()
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -566,3 +566,11 @@
 		t.Errorf("engine ordered to hold %v", engine.violations)
 	}
 }
+
+// newIdleCoordinator returns a coordinator that does not run, and its engine.
+func newIdleCoordinator() (*Coordinator, *fakeEngine) {
+	service := testService(2)
+	engine := &fakeEngine{service: service}
+	state := &fakeFleetState{config: catalog.NewConfig(1, nil, []*catalog.Service{service}, catalog.Limits{})}
+	return New("host", &fakeLease{}, state, engine, logr.Discard()), engine
+}
--- a/internal/coordinator/rpc.go
+++ b/internal/coordinator/rpc.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
 // RPC method names. The pool method keeps its older wire name.
@@ -62,7 +64,7 @@
 
 // Serve handles calls until ctx is done.
 func Serve(ctx context.Context, listener net.Listener, service Service) error {
-	return drpcserver.New(handler{service}).Serve(ctx, listener)
+	return drpcserver.New(confine.Handler{Handler: handler{service}}).Serve(ctx, listener)
 }
 
 // Client calls other hosts. Calls of one method run one after another on a connection of
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
@@ -94,7 +95,7 @@
 	reached := false
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := e.exchangeOnce(ctx)
+		err := confine.Call("exchange with the coordinator", func() error { return e.exchangeOnce(ctx) })
 		if err == nil != reached && ctx.Err() == nil {
 			reached = err == nil
 			e.log.Info("Coordinator contact changed.", "reached", reached, "coordinator", e.elector.Coordinator().Holder,
@@ -286,12 +287,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), adapterCallTimeout)
 	defer cancel()
 	request := &coordinator.AdapterRequest{Host: e.settings.Host, ModelKey: id.ModelKey, Adapter: id.adapter}
-	record := e.elector.Coordinator()
-	if record.Holder == e.settings.Host {
-		pending.reply = e.Adapter(ctx, request)
-	} else {
-		pending.reply, pending.err = e.client.Adapter(ctx, record.Address, request)
-	}
+	pending.err = confine.Call("loading an adapter", func() (err error) {
+		pending.reply, err = e.adapterCall(ctx, request)
+		return err
+	})
 	if pending.err == nil && pending.reply.Upstream != "" {
 		clock.Sleep(ctx, time.Duration(pending.reply.ReadyInMS)*time.Millisecond)
 		e.registry.RecordAdapter(pending.reply.Upstream, id.Model, id.adapter)
@@ -302,6 +301,15 @@
 	close(pending.done)
 }
 
+// adapterCall asks the coordinator, which may be this host.
+func (e *exchanger) adapterCall(ctx context.Context, request *coordinator.AdapterRequest) (*coordinator.AdapterReply, error) {
+	record := e.elector.Coordinator()
+	if record.Holder == e.settings.Host {
+		return e.Adapter(ctx, request), nil
+	}
+	return e.client.Adapter(ctx, record.Address, request)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -25,7 +26,11 @@
 
 // apply applies rows of the operator's table. Versions never go back.
 func (c *configuration) apply(rows []table.Row, _ bool) {
-	config, err := c.decode(rows)
+	var config *catalog.Config
+	err := confine.Call("decoding the configuration", func() (err error) {
+		config, err = c.decode(rows)
+		return err
+	})
 	if err != nil {
 		c.log.Error(err, "Invalid configuration ignored; the previous version stays in force.", "version", c.version())
 		return
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
 type metrics struct {
@@ -66,6 +68,7 @@
 		gauge("gateway_coordinator", "1 if this host coordinates the fleet.", func() float64 { return boolGauge(g.elector.Held()) }),
 		gauge("gateway_coordinator_reached", "1 if the coordinator answers this host.", func() float64 { return boolGauge(g.exchanger.Reached()) }),
 		gauge("gateway_ready", "1 if the host reports ready.", func() float64 { return boolGauge(g.Ready()) }),
+		gauge("gateway_panics", "Panics that were confined to the message that caused them, since the start.", func() float64 { return float64(confine.Panics()) }),
 		gauge("gateway_log_lines_dropped", "Log lines that were dropped because the output was slow.", g.droppedLogLines),
 	)
 	return m
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 	"github.com/arbutusbank/arbutusbank/internal/table"
@@ -81,11 +82,11 @@
 
 // equivalent reports whether two entries differ only in their heartbeat count.
 func (r *Registry) equivalent(a, b []byte) bool {
-	first, err := r.decode(table.Row{Value: a})
+	first, err := r.decodeRow(table.Row{Value: a})
 	if err != nil {
 		return false
 	}
-	second, err := r.decode(table.Row{Value: b})
+	second, err := r.decodeRow(table.Row{Value: b})
 	return err == nil && reflect.DeepEqual(first, second)
 }
 
@@ -132,12 +133,21 @@
 	r.lastOutage = time.Now()
 }
 
+// decodeRow decodes a row. A row that can't be decoded leaves the others as they are.
+func (r *Registry) decodeRow(row table.Row) (entry *catalog.Upstream, err error) {
+	err = confine.Call("decoding an upstream's entry", func() error {
+		entry, err = r.decode(row)
+		return err
+	})
+	return entry, err
+}
+
 func (r *Registry) applyRow(row table.Row, now time.Time, skipLog bool) {
 	if row.Deleted {
 		r.remove(row.Key, now)
 		return
 	}
-	entry, err := r.decode(row)
+	entry, err := r.decodeRow(row)
 	if err != nil {
 		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "error", err.Error())
 		return
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -79,3 +79,21 @@
 		t.Error("the entry was changed")
 	}
 }
+
+// Guards against one entry whose decoding panics and that ends the process, again at each
+// start, or keeps the other entries from being read.
+func TestEntryThatPanicsLeavesTheOthers(t *testing.T) {
+	decode := func(row table.Row) (*catalog.Upstream, error) {
+		if row.Key == "odd" {
+			panic("decoder")
+		}
+		return &catalog.Upstream{ID: row.Key, Service: "ledger", Address: row.Key + ":1"}, nil
+	}
+	r := NewRegistry(decode, func(string) {}, logr.Discard())
+	rows := []table.Row{{Key: "s1", Revision: 1}, {Key: "odd", Revision: 2}, {Key: "s2", Revision: 3}}
+	r.Replica.ApplyPage(table.Page{Rows: rows, Revision: 3}, true, clock.SinceBoot())
+	r.Replica.ApplyPage(table.Page{Rows: []table.Row{{Key: "odd", Revision: 4, Value: []byte("x")}, {Key: "s3", Revision: 5}}, Revision: 5}, false, clock.SinceBoot())
+	if candidates := r.Candidates("ledger", "", ""); len(candidates) != 3 {
+		t.Errorf("%d candidates, want s1, s2 and s3", len(candidates))
+	}
+}
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -154,21 +155,32 @@
 // Run renews the lease while this host holds it and polls the row otherwise, until ctx is
 // done.
 func (e *Elector) Run(ctx context.Context) {
-	e.poll(ctx)
+	e.confined(ctx, e.poll)
 	for ctx.Err() == nil {
 		switch {
 		case e.shouldRenew():
-			e.renew(ctx)
+			e.confined(ctx, e.renew)
 			clock.Sleep(ctx, renewInterval)
 		default:
 			requested := e.waitForPoll(ctx, pollInterval+e.ClaimDelay+rand.N(pollJitter))
 			if requested || !e.CoordinatorReachable() {
-				e.poll(ctx)
+				e.confined(ctx, e.poll)
 			}
 		}
 	}
 }
 
+// confined makes one step and logs a panic in it.
+func (e *Elector) confined(ctx context.Context, step func(context.Context)) {
+	err := confine.Call("following the lease", func() error {
+		step(ctx)
+		return nil
+	})
+	if err != nil {
+		e.Log.Error(err, "Panic confined.")
+	}
+}
+
 // PollSoon requests an early poll, after the presumed coordinator replied that it does not
 // hold the lease.
 func (e *Elector) PollSoon() {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/arbutusbank/arbutusbank/internal/config"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/peer/peerpb"
 )
 
@@ -206,7 +207,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { m.sendHeartbeats(ctx) })
-	err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener)
+	err := drpcserver.NewWithOptions(confine.Handler{Handler: mux}, options).Serve(ctx, listener)
 	cancel()
 	tasks.Wait()
 	m.close()
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
 // Follower keeps a replica up to date with the change feed of the table service.
@@ -49,7 +50,7 @@
 			clock.Sleep(ctx, enabledCheckInterval)
 			continue
 		}
-		err := f.step(ctx)
+		err := confine.Call("following table "+f.Table, func() error { return f.step(ctx) })
 		if err == nil {
 			f.lastResponse = clock.SinceBoot()
 			if !connected {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -200,13 +200,17 @@
 	return nil
 }
 
+// lineBreaks replaces line breaks in header values, which would add lines to a request: an
+// event ID comes from another upstream.
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
 func encodeHeader(request *Request) []byte {
 	var header bytes.Buffer
 	header.Grow(1024 + len(request.Body))
 	header.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
-			header.WriteString(name + ": " + value + "\r\n")
+			header.WriteString(name + ": " + lineBreaks.Replace(value) + "\r\n")
 		}
 	}
 	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
--- a/internal/upstream/roundtrip_test.go
+++ b/internal/upstream/roundtrip_test.go
@@ -159,3 +159,11 @@
 		}
 	}
 }
+
+// Guards against a header value that adds lines to a request.
+func TestLineBreaksInHeaderValues(t *testing.T) {
+	encoded := string(encodeHeader(&Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Last-Event-Id": {"5\r\nTenant: other"}}}))
+	if strings.Contains(encoded, "\nTenant") {
+		t.Errorf("request %q", encoded)
+	}
+}
