Place a model elsewhere when an unload is blocked

Change: the wait for an unload is 0.6 s instead of 6 s; the planner then decides again among the other engines. An engine whose unload goes on is occupied until its report says otherwise, as before. TestLateLoadVoidsDecision took the constant as its bound; it has 3 s now, which is stricter.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -196,11 +196,7 @@
 // startCoordinatorAt is startCoordinator with a boot clock.
 func startCoordinatorAt(t *testing.T, models int, now func() time.Duration) (*Coordinator, *fakeEngine) {
 	t.Helper()
-	service := testService(models)
-	for name, model := range service.Engine.Models {
-		model.Load, model.LoadDisk, model.LoadMemory = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
-		service.Engine.Models[name] = model
-	}
+	service := fastService(models)
 	holdings := catalog.Holdings{Models: map[string][]string{"m0": nil}, OnDisk: []string{"m0"}, OrderSeq: 5}
 	engine := &fakeEngine{service: service, holdings: holdings}
 	entry := catalog.Holdings{Models: map[string][]string{"m0": nil}, OnDisk: []string{"m0"}}
@@ -217,6 +213,16 @@
 	return c, engine
 }
 
+// fastService is testService with loads of 30 ms.
+func fastService(models int) *catalog.Service {
+	service := testService(models)
+	for name, model := range service.Engine.Models {
+		model.Load, model.LoadDisk, model.LoadMemory = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
+		service.Engine.Models[name] = model
+	}
+	return service
+}
+
 // awaitReport waits until the engine's report has been read.
 func awaitReport(t *testing.T, c *Coordinator) {
 	t.Helper()
@@ -554,7 +560,8 @@
 	start := time.Now()
 	awaitModel(t, c, "m4")
 	awaitModel(t, c, "m5")
-	if took := time.Since(start); took > maxUnloadWait {
+	// The bound was the longest wait for an unload, 6 s then; decisions end sooner now.
+	if took := time.Since(start); took > 3*time.Second {
 		t.Errorf("void decision blocked the engine for %v", took)
 	}
 	engine.mu.Lock()
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -39,9 +39,10 @@
 	// longLoadTime is the load time from which adapters of the models that stay are
 	// prefetched before the load starts.
 	longLoadTime = 2 * time.Second
-	// maxUnloadWait limits the wait for an unload, which completes when the running
-	// requests of the model end.
-	maxUnloadWait = 6 * time.Second
+	// maxUnloadWait limits the wait for an unload. An idle model is dropped in unloadTime,
+	// but one with running requests, which hosts have not reported yet, only when these
+	// end. Another engine is chosen then.
+	maxUnloadWait = 600 * time.Millisecond
 )
 
 // executeAction sends the orders of an action. If one fails, the engine stays as it is and
