--- a/internal/coordinator/blocked_unload_test.go
+++ b/internal/coordinator/blocked_unload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,7 @@
 	for id, engine := range engines.engines {
 		holdings := engine.holdings
 		holdings.OrderSeq = 0
+		holdings.Models = maps.Clone(holdings.Models)
 		state.upstreams = append(state.upstreams, &catalog.Upstream{ID: id, Service: service.Name, Address: id + ":1", Holdings: holdings})
 	}
 	c := newCoordinator("host", &fakeLease{}, state, engines, logr.Discard(), now)
