Forget only the oldest of the requests that lost runs

Change: the request whose last lost run is oldest is dropped. Ruled out: a larger bound; the coordinator sums the counts of all hosts.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,8 +15,8 @@
 	quarantineThreshold = 3
 	// lostRunRetention is how long lost runs count after the last one.
 	lostRunRetention = time.Minute
-	// maxTrackedRequests bounds the number of tracked requests. When it is reached,
-	// the lost runs of all requests are dropped.
+	// maxTrackedRequests bounds the number of tracked requests. When it is reached, the
+	// request whose last lost run is oldest is dropped.
 	maxTrackedRequests = 4096
 	// quarantineRetryAfter is the Retry-After for a quarantined request.
 	quarantineRetryAfter = 5 * time.Second
@@ -58,10 +58,10 @@
 func (q *requestQuarantine) recordLostRun(now time.Time, fingerprint uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.lostRuns) >= maxTrackedRequests {
-		q.expire(now, 0)
+	runs, known := q.lostRuns[fingerprint]
+	if !known && len(q.lostRuns) >= maxTrackedRequests {
+		q.dropOldest()
 	}
-	runs := q.lostRuns[fingerprint]
 	q.lostRuns[fingerprint] = lostRuns{count: runs.count + 1, last: now}
 	q.unreported[fingerprint] = max(0, q.unreported[fingerprint]) + 1
 }
@@ -84,6 +84,18 @@
 	q.unreported[key] = coordinator.Answered
 }
 
+// dropOldest drops the request whose last lost run is oldest.
+func (q *requestQuarantine) dropOldest() {
+	var oldest uint64
+	var earliest time.Time
+	for fingerprint, runs := range q.lostRuns {
+		if earliest.IsZero() || runs.last.Before(earliest) {
+			oldest, earliest = fingerprint, runs.last
+		}
+	}
+	delete(q.lostRuns, oldest)
+}
+
 // expire drops requests whose last lost run is older than age.
 func (q *requestQuarantine) expire(now time.Time, age time.Duration) {
 	for fingerprint, runs := range q.lostRuns {
