Entry hosts: take no response of another call, and no unnamed refusal, as this one's

Cause: the client of plain services did not look at the ID that a response carries, so a response that a worker sent again on a kept connection went to the next caller. The client of engines took a refusal without an ID as 'not run'; it may be an old one. Change: a response that names another call fails as one whose outcome is unknown, and its connection is closed; a refusal that names none does not say 'not run'. Ruled out: requiring the ID of plain services; their protocol does not ask for it.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -117,6 +117,8 @@
 		{"not loaded", "r1", 409, `{"reason":"not_loaded"}`, false, true},
 		{"other conflict", "r1", 409, `{"reason":"x"}`, false, false},
 		{"draining", "r1", 503, ``, false, true},
+		{"refusal that names no request", "", 503, ``, false, false},
+		{"not loaded, names no request", "", 409, `{"reason":"not_loaded"}`, false, false},
 		{"failed", "r1", 500, ``, false, false},
 	}
 	for _, c := range cases {
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -90,6 +90,8 @@
 type RefusedError struct {
 	Status int
 	Body   []byte // truncated to maxRefusalBytes
+	// Unnamed reports that the response carried no request ID.
+	Unnamed bool
 }
 
 // Error implements error.
@@ -109,7 +111,11 @@
 }
 
 // NotRun reports whether the request certainly did not run: the model is not
-// resident, or the engine is draining and takes no new work.
+// resident, or the engine is draining and takes no new work. A refusal that names no
+// request may belong to an earlier one.
 func (e *RefusedError) NotRun() bool {
+	if e.Unnamed {
+		return false
+	}
 	return e.NotLoaded() || e.Status == http.StatusServiceUnavailable
 }
--- a/internal/engine/infer.go
+++ b/internal/engine/infer.go
@@ -63,7 +63,8 @@
 
 // checkResponse verifies that a response carries the request's ID and is not a
 // refusal. A refusal may lack the ID, since an overloaded engine may respond
-// before it has parsed the request's headers.
+// before it has parsed the request's headers; it may also be one that was sent
+// again, so it does not show that this request did not run.
 func checkResponse(response *http.Response, requestID string) error {
 	got := response.Header.Get(HeaderRequestID)
 	refused := response.StatusCode != http.StatusOK
@@ -77,7 +78,7 @@
 	if err != nil {
 		return &UnknownOutcomeError{Cause: err}
 	}
-	return &RefusedError{Status: response.StatusCode, Body: body}
+	return &RefusedError{Status: response.StatusCode, Body: body, Unnamed: got == ""}
 }
 
 func isEventStream(header http.Header) bool {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -57,6 +57,15 @@
 	return fmt.Sprintf("the response has more than %d bytes", e.Limit)
 }
 
+// MismatchError reports a response that carries another request's ID: the worker sent an
+// earlier response again.
+type MismatchError struct{ Want, Got string }
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("response carries request ID %q instead of %q", e.Got, e.Want)
+}
+
 // Client calls the workers of plain services. It is safe for concurrent use.
 type Client struct {
 	http       *http.Client
@@ -92,6 +101,10 @@
 		return nil, c.classifyFailure(address, err, sent.Load())
 	}
 	defer response.Body.Close()
+	if got := response.Header.Get(headerRequestID); got != "" && got != call.ID {
+		// Without reading the body, so that the connection is closed.
+		return nil, eris.Wrap(&InterruptedError{Cause: &MismatchError{Want: call.ID, Got: got}}, address)
+	}
 	return c.readResponse(address, response)
 }
 
