Answer the requests that cross a planned stop

Cause: Shutdown of net/http closes a connection without an answer if its request is read after the call, and closing a listener resets the connections that wait to be accepted. A host under load did both 2.6 s after it had reported not ready. Change: internal/drain. The listener's Close first accepts what waits; the server answers the requests on all connections that were opened before, each with Connection: close, and is shut down when none is left. Entry hosts use the listener, too; they waited for their requests before. Ruled out: a longer delay before the stop; callers with open connections do not notice it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/drain"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -58,7 +59,7 @@
 	Engines func(onStatement func(*catalog.Upstream, call.Statement)) coordinator.Engines
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
-	// ListenCallers opens the callers' listener. Optional; the default is net.Listen.
+	// ListenCallers opens the callers' listener. Optional; the default is drain.Listen.
 	ListenCallers func(network, address string) (net.Listener, error)
 }
 
@@ -83,6 +84,9 @@
 
 // New returns a gateway that is idle until Run.
 func New(options Options) *Gateway {
+	if options.ListenCallers == nil {
+		options.ListenCallers = drain.Listen
+	}
 	s := options.Settings
 	g := &Gateway{
 		settings: s, options: options, log: options.Log, protocol: options.Protocol, connections: upstream.NewPool(),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/drain"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -111,13 +112,19 @@
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	presence.Watch(server)
-	serving := make(chan error, 1)
-	go func() { serving <- server.Serve(l.callers) }()
+	connections := drain.Track(server)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		err = server.Serve(l.callers)
+	}()
 	select {
 	case <-ctx.Done():
-		g.shutdown(server)
-	case err = <-serving:
+		g.shutdown(func(ctx context.Context) error { return connections.Stop(ctx, server, l.callers, served) })
+		_ = server.Close() // ends what the shutdown timeout left over
+	case <-served:
 	}
+	<-served
 	stopBackground()
 	_ = l.ready.Close() // the process ends
 	if l.metrics != nil {
@@ -125,7 +132,7 @@
 	}
 	group.Wait()
 	g.log.Info("Stopped.", "requests", g.inFlight.Load(), "error", errorText(err))
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -196,9 +203,9 @@
 	return deadline != nil && time.Until(*deadline) < d
 }
 
-// shutdown reports not ready, releases the lease and waits for the requests in
-// progress, up to the shutdown timeout.
-func (g *Gateway) shutdown(server *http.Server) {
+// shutdown reports not ready, releases the lease and stops the callers' server, which
+// finishes the requests in progress, up to the shutdown timeout.
+func (g *Gateway) shutdown(stop func(context.Context) error) {
 	deadline := time.Now().Add(g.settings.ShutdownTimeout() - shutdownMargin)
 	g.shutdownDeadline.Store(&deadline)
 	g.draining.Store(true)
@@ -207,8 +214,7 @@
 	defer cancel()
 	g.elector.Stop(ctx)
 	clock.Sleep(ctx, drainDelay)
-	if err := server.Shutdown(ctx); err != nil {
+	if err := stop(ctx); err != nil {
 		g.log.Info("Shutdown timeout reached; closing connections with requests in progress.", "requests", g.inFlight.Load(), "error", err.Error())
-		_ = server.Close() // the process ends
 	}
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/config"
+	"github.com/arbutusbank/arbutusbank/internal/drain"
 	"github.com/arbutusbank/arbutusbank/internal/platform"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 )
@@ -74,7 +75,7 @@
 // listened on, a *ShutdownTimeoutError if requests were still in progress when the
 // shutdown timeout expired, any other error of the HTTP server, and nil otherwise.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.settings.Listen)
+	listener, err := drain.Listen("tcp", h.settings.Listen)
 	if err != nil {
 		return eris.Wrap(&ListenError{Address: h.settings.Listen, Cause: err}, "start")
 	}
--- a/tests/gateway/gate_test.go
+++ b/tests/gateway/gate_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"github.com/arbutusbank/arbutusbank/internal/drain"
 )
 
 // gate holds back what a host accepts and reads, as if the host had no processor time.
@@ -39,7 +41,7 @@
 
 // listen returns a listener whose connections pass the gate.
 func (g *gate) listen(network, address string) (net.Listener, error) {
-	listener, err := net.Listen(network, address)
+	listener, err := drain.Listen(network, address)
 	return &gatedListener{listener, g}, err
 }
 
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -209,6 +209,10 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(func() { _ = conn.Close() })
+	return newRawCaller(conn)
+}
+
+func newRawCaller(conn net.Conn) *rawCaller {
 	return &rawCaller{conn.(*net.TCPConn), bufio.NewReader(conn)}
 }
 
--- /dev/null
+++ b/tests/gateway/stop_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stopCallers is the number of callers that send without a pause while their host stops.
+const stopCallers = 24
+
+// stopCaller sends requests to a host, each after the response to the one before, and
+// records those that ended without a response.
+type stopCaller struct {
+	fleet *testFleet
+	name  string
+	keep  bool // keeps its connection as long as the host does
+
+	sent, cut []string
+}
+
+// run sends requests until the host takes no connections.
+func (c *stopCaller) run() {
+	var conn *rawCaller
+	for {
+		if conn == nil {
+			dialed, err := net.Dial("tcp", c.fleet.hosts[0].settings.Listen)
+			if err != nil {
+				return // the host has stopped
+			}
+			conn = newRawCaller(dialed)
+		}
+		id := fmt.Sprintf("%s-%d", c.name, len(c.sent))
+		sentAt := time.Now()
+		again, err := c.request(conn, id)
+		if errors.Is(err, errNotSent) {
+			return // the host's address is closed
+		}
+		c.sent = append(c.sent, id)
+		if err != nil {
+			c.cut = append(c.cut, fmt.Sprintf("%s (%v, %v after it was sent)", id, err, time.Since(sentAt)))
+		}
+		if !again || !c.keep {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
+
+var errNotSent = errors.New("the request was not sent")
+
+// request sends a request and reads the response. again reports that the connection can be
+// used again.
+func (c *stopCaller) request(conn *rawCaller, id string) (again bool, err error) {
+	if _, err := conn.Write(rawRequest("/withdraw/1", id, "", "lot")); err != nil {
+		return false, errNotSent
+	}
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return false, err
+	}
+	return !response.Close, nil
+}
+
+// Load: callers that send without a pause, on kept and on new connections, while their host
+// is stopped as planned. Guards against requests that were accepted, or had reached a
+// worker, and are cut off without an answer (check LOST).
+func TestStopUnderLoadCutsNoRequest(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprintf(conn, "%s\r\nContent-Length: 2\r\n\r\nok", answerHeader(request))
+	})
+	callers := make([]*stopCaller, stopCallers)
+	var group sync.WaitGroup
+	for i := range callers {
+		callers[i] = &stopCaller{fleet: f, name: fmt.Sprintf("caller%d", i), keep: i%2 == 0}
+		group.Go(callers[i].run)
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.hosts[0].stop()
+	group.Wait()
+	sent := 0
+	for _, caller := range callers {
+		sent += len(caller.sent)
+		for _, id := range caller.cut {
+			t.Errorf("request without an answer: %s", id)
+		}
+	}
+	if sent < 500 {
+		t.Errorf("only %d requests were sent", sent)
+	}
+}
