Reserve the port of a test where no outgoing connection can take it

Cause: TestHostStartedBeforeItsPlatform frees a port of 127.0.0.1 for up to 2 s, in which any outgoing connection of the machine can take it: 'address already in use', once. Change: the port is on the loopback IP that internal/fleet already uses for its hosts.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,7 +123,7 @@
 	list := make([]deployment.HostAddress, hosts)
 	for i := range list {
 		for _, address := range []*string{&list[i].Address, &list[i].PeerAddress} {
-			listener, err := net.Listen("tcp", hostLoopback()+":0")
+			listener, err := net.Listen("tcp", HostLoopback()+":0")
 			if err != nil {
 				return nil, &SetupError{Step: "reserve a port", Cause: err}
 			}
@@ -134,8 +134,9 @@
 	return list, nil
 }
 
-// hostLoopback returns a loopback address derived from the process ID.
-func hostLoopback() string {
+// HostLoopback returns a loopback IP derived from the process ID. Outgoing connections use
+// 127.0.0.1, so none of them can take a port there between its choice and its use.
+func HostLoopback() string {
 	const first = 64 // second octets 64 to 127
 	pid := os.Getpid()
 	return net.IPv4(127, byte(first+pid>>16&63), byte(pid>>8), byte(max(1, pid&255))).String()
--- a/tests/integration/start_order_test.go
+++ b/tests/integration/start_order_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"github.com/arbutusbank/arbutusbank/internal/fleet"
 	"github.com/arbutusbank/arbutusbank/internal/host"
 	"github.com/arbutusbank/arbutusbank/internal/settings"
 	standinplatform "github.com/arbutusbank/arbutusbank/internal/standin/platform"
@@ -36,7 +37,7 @@
 func TestHostStartedBeforeItsPlatform(t *testing.T) {
 	for _, wait := range []time.Duration{0, 600 * time.Millisecond, 2 * time.Second} {
 		t.Run(wait.String(), func(t *testing.T) {
-			reservedPort, err := net.Listen("tcp", "127.0.0.1:0")
+			reservedPort, err := net.Listen("tcp", fleet.HostLoopback()+":0")
 			if err != nil {
 				t.Fatal(err)
 			}
