Log what runs that an upstream's crash ended have in common

'Run lost.' has the request's fingerprint, the shared segments of its prompt, and how far the run was. Test: TestSharedSegmentsLeaveOutTheLast.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -28,6 +28,16 @@
 	PromptSegments []PromptSegment
 }
 
+// SharedSegments returns the IDs of the segments that other requests may have, too: all but
+// the last, which belongs to the request or its session.
+func (r *Request) SharedSegments() []string {
+	var ids []string
+	for i := range len(r.PromptSegments) - 1 {
+		ids = append(ids, r.PromptSegments[i].ID)
+	}
+	return ids
+}
+
 // Attempt is one attempt to run a request at an upstream.
 type Attempt struct {
 	Request   *Request
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
@@ -27,6 +29,8 @@
 	// system's own work.
 	enginePriorityOffset = 2
 	maxPriority          = 9
+	// maxLoggedSegments bounds the segments of a prompt that a log line names.
+	maxLoggedSegments = 16
 )
 
 // dispatcher sends one request to upstreams until one responds or the request is
@@ -44,6 +48,9 @@
 	// after the upstream was chosen.
 	withheld int
 	relay    relay
+	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
+	// not yet.
+	sentAt, outputAt time.Time
 }
 
 // dispatch sends the request to upstreams. It returns a refusal if the caller has not
@@ -188,6 +195,7 @@
 		return false
 	}
 	d.departure.countSend()
+	d.sentAt, d.outputAt = time.Now(), time.Time{}
 	return true
 }
 
@@ -257,6 +265,7 @@
 func (d *dispatcher) handleLostRun(id, reason string, outcome Outcome) (bool, *refusal) {
 	d.gateway.registry.RecordOutcome(id, outcome)
 	if outcome == OutcomeConnectionLost {
+		d.logLostRun(id)
 		d.gateway.exchanger.quarantine.recordLostRun(time.Now(), d.fingerprint())
 	}
 	d.tried[id] = true
@@ -269,3 +278,16 @@
 func (d *dispatcher) log(message, id string, err error) {
 	d.gateway.log.Info(message, "request", d.request.ID, "upstream", id, "sends", d.sends, "runs", d.runs, "error", err.Error())
 }
+
+// logLostRun logs what the runs that an upstream's crash ended may have in common: the
+// shared segments of their prompts, and how far the run was.
+func (d *dispatcher) logLostRun(id string) {
+	now := time.Now()
+	segments := d.request.SharedSegments()
+	fields := []any{"request", d.request.ID, "upstream", id, "fingerprint", strconv.FormatUint(d.fingerprint(), 16),
+		"segments", strings.Join(segments[:min(len(segments), maxLoggedSegments)], ","), "sent_ms", now.Sub(d.sentAt).Milliseconds()}
+	if !d.outputAt.IsZero() {
+		fields = append(fields, "output_ms", now.Sub(d.outputAt).Milliseconds())
+	}
+	d.gateway.log.Info("Run lost.", fields...)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -146,6 +147,9 @@
 	d.startStream(response)
 	d.relay.lastEventID = lastEventID(events, d.relay.lastEventID)
 	d.record.recordFirstEvent(d.startedAt)
+	if d.outputAt.IsZero() {
+		d.outputAt = time.Now()
+	}
 	if _, err := d.writer.Write(events); err != nil {
 		return err
 	}
