Give the hosts of a test addresses of their own

TestAllowanceOfWorkspace failed once in a run of all tests: 'host host-0 failed: bind: address already in use'. The port of a test host is chosen by opening and closing a listener, and the system may choose the same one again before the host listens: 14 of 2,000 trials with the 12 addresses of three hosts had an address twice. A fleet returns no address twice now. That the open failures 'hosts not ready within 5 s' had this cause is not shown.

--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -45,6 +45,7 @@
 	gate *gate
 	// loopback is the loopback IP of this fleet.
 	loopback string
+	chosen   map[string]bool // addresses that freeAddress has returned
 }
 
 type testHost struct {
@@ -72,16 +73,23 @@
 	return net.IPv4(127, byte(128+fleet%100), byte(pid>>8), byte(max(1, pid&255))).String()
 }
 
-// freeAddress returns a free IP:port on the fleet's loopback IP.
+// freeAddress returns a free IP:port on the fleet's loopback IP that it has not returned
+// before: the system may choose a port again before a host listens on it.
 func (f *testFleet) freeAddress() string {
 	t := f.t
 	t.Helper()
-	listener, err := net.Listen("tcp", f.loopback+":0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp", f.loopback+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close() // the address is free again
+		if !f.chosen[address] {
+			f.chosen[address] = true
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // newTestFleet starts a store with a configuration, an engine with model m1 of the
@@ -89,7 +97,7 @@
 func newTestFleet(t *testing.T, hosts int) *testFleet {
 	t.Helper()
 	t.Parallel()
-	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1))}
+	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}}
 	t.Cleanup(f.store.Close)
 	f.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	f.ledgers = []*platformtest.Worker{
