Quarantine a segment of prompts that crashes upstreams

Cause: lost runs were counted by the whole request only. Requests that share what crashes engines, and nothing else, never reached the threshold. Besides, a report of lost runs was forgotten if its exchange failed, and a new coordinator knew nothing of the one before. Change: internal/quarantine counts crashes for a request and for each shared segment of its prompt, clears what is answered, and puts equal evidence down to the deepest key. Hosts are asked for answers before a segment is refused, report until the coordinator confirms, and tell a new coordinator.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -78,7 +78,7 @@
 	demand        *demandTracker
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
-	lostRuns      lostRunTracker
+	crashReports  *crashReports
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
 	storeStarts   []time.Duration
@@ -113,7 +113,7 @@
 	c.demand = newDemandTracker()
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
-	c.lostRuns = lostRunTracker{}
+	c.crashReports = newCrashReports(c.log)
 	c.estimates = nil
 	c.poolHosts = nil
 	c.leaving = nil
@@ -137,7 +137,7 @@
 	defer c.mu.Unlock()
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
-	c.lostRuns.record(now, request.Lost)
+	c.crashReports.record(now, request)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
 			engine.suspected = true
@@ -153,7 +153,7 @@
 	c.views.refresh(now, c.fleet)
 	reply.View = c.views.since(request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
-	reply.Quarantined = c.lostRuns.quarantined()
+	c.crashReports.reply(now, reply)
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
@@ -233,7 +233,6 @@
 	defer c.mu.Unlock()
 	c.ledger.Expire(now)
 	c.demand.expire(now)
-	c.lostRuns.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
 	c.notableLoads = c.demand.notableLoads(c.slots)
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -9,6 +9,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -36,15 +37,22 @@
 	Count    int    `json:"count"`
 }
 
-// Answered as a LostRuns.Count means that the request was answered, so its earlier lost
-// runs do not show that it crashes upstreams.
-const Answered = -1
+// LostRun is a run that ended with the connection to its upstream.
+type LostRun struct {
+	quarantine.LostRun
+	AgeMS int64 `json:"age_ms"` // time since it was lost
+}
+
+// Answered is a suspected or quarantined key of which a request was answered.
+type Answered struct {
+	Key   quarantine.Key `json:"key"`
+	AgeMS int64          `json:"age_ms"` // time since the latest answer
+}
 
-// LostRuns counts the runs of a request during which the connection to the upstream was
-// lost.
-type LostRuns struct {
-	Fingerprint uint64 `json:"fingerprint"`
-	Count       int    `json:"count"`
+// Quarantine is a key that all hosts refuse.
+type Quarantine struct {
+	Key         quarantine.Key `json:"key"`
+	RemainingMS int64          `json:"remaining_ms"`
 }
 
 // ExchangeRequest is a host's periodic report to the coordinator.
@@ -62,8 +70,13 @@
 	Unreachable []string `json:"unreachable,omitempty"`
 	// SuspectedUpstreams (wire name: doubts) are engines that reported that they lack what
 	// the view lists.
-	SuspectedUpstreams []string   `json:"doubts,omitempty"`
-	Lost               []LostRuns `json:"lost,omitempty"` // since the last exchange
+	SuspectedUpstreams []string `json:"doubts,omitempty"`
+	// LostRuns are the runs that the coordinator has not yet confirmed to know of.
+	LostRuns []LostRun `json:"lost_runs,omitempty"`
+	// Answered are the suspected and quarantined keys that were answered at the host.
+	Answered []Answered `json:"answered,omitempty"`
+	// Quarantines are those that the coordinator before has decided.
+	Quarantines []Quarantine `json:"quarantines,omitempty"`
 	// Leaving are upstreams that told the host that they leave.
 	Leaving []Incarnation `json:"leaving,omitempty"`
 	// Paused are upstreams that told the host to send nothing for some time.
@@ -135,8 +148,10 @@
 	View       *View                      `json:"view,omitempty"`     // nil: unchanged
 	Grants     map[string]allowance.Grant `json:"grants,omitempty"`
 	Estimates  []Estimate                 `json:"estimates,omitempty"`
-	// Quarantined are the fingerprints of requests that crash upstreams.
-	Quarantined []uint64 `json:"quarantined,omitempty"`
+	// Quarantines are the requests, and segments of prompts, that crash upstreams.
+	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Suspected may crash upstreams, unless a host has answered them.
+	Suspected []quarantine.Key `json:"suspected,omitempty"`
 	// Tables are the updates for the host's table replicas, by table.
 	Tables map[string]table.Update `json:"tables,omitempty"`
 	// Running counts the requests of all other hosts at upstreams with notable load.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
 
@@ -48,9 +49,11 @@
 	// after the upstream was chosen.
 	withheld int
 	relay    relay
+	upstream *catalog.Upstream // of the current run
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
 	// not yet.
 	sentAt, outputAt time.Time
+	survived         bool // the upstream has been answering the current run for answeredAfter
 }
 
 // dispatch sends the request to upstreams. It returns a refusal if the caller has not
@@ -75,6 +78,9 @@
 		if refused != nil {
 			return d.finalRefusal(refused)
 		}
+		if refused := d.checkQuarantine(); refused != nil {
+			return d.finalRefusal(refused)
+		}
 		again, refused := d.send(candidate)
 		if !again {
 			return d.finalRefusal(refused)
@@ -114,6 +120,7 @@
 	}
 	id := candidate.Upstream.ID
 	d.record.upstream = id
+	d.upstream = candidate.Upstream
 	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter)
 	defer release()
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -195,7 +202,7 @@
 		return false
 	}
 	d.departure.countSend()
-	d.sentAt, d.outputAt = time.Now(), time.Time{}
+	d.sentAt, d.outputAt, d.survived = time.Now(), time.Time{}, false
 	return true
 }
 
@@ -265,26 +272,43 @@
 func (d *dispatcher) handleLostRun(id, reason string, outcome Outcome) (bool, *refusal) {
 	d.gateway.registry.RecordOutcome(id, outcome)
 	if outcome == OutcomeConnectionLost {
-		d.logLostRun(id)
-		d.gateway.exchanger.quarantine.recordLostRun(time.Now(), d.fingerprint())
+		d.recordLostRun()
 	}
 	d.tried[id] = true
-	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil {
+	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil && !d.isSuspected() {
 		return true, nil
 	}
 	return false, &refusal{status: http.StatusBadGateway, reason: reason}
 }
 
+// isSuspected reports whether the request may crash a second upstream.
+func (d *dispatcher) isSuspected() bool {
+	return d.gateway.exchanger.quarantine.isSuspected(d.keys, d.gateway.exchanger.Reached())
+}
+
+// recordLostRun records a run that may have crashed its upstream.
+func (d *dispatcher) recordLostRun() {
+	d.logLostRun()
+	run := quarantine.LostRun{
+		ID: runID(d.request.ID, d.runs), Upstream: d.upstream.ID, StartedMS: d.upstream.StartedMS, Request: d.keys.request,
+	}
+	if d.outputAt.IsZero() || time.Since(d.outputAt) < answeredAfter {
+		run.Segments = d.keys.segments
+	}
+	d.gateway.exchanger.quarantine.recordLostRun(run)
+	d.gateway.exchanger.exchangeSoon()
+}
+
 func (d *dispatcher) log(message, id string, err error) {
 	d.gateway.log.Info(message, "request", d.request.ID, "upstream", id, "sends", d.sends, "runs", d.runs, "error", err.Error())
 }
 
 // logLostRun logs what the runs that an upstream's crash ended may have in common: the
 // shared segments of their prompts, and how far the run was.
-func (d *dispatcher) logLostRun(id string) {
+func (d *dispatcher) logLostRun() {
 	now := time.Now()
 	segments := d.request.SharedSegments()
-	fields := []any{"request", d.request.ID, "upstream", id, "fingerprint", strconv.FormatUint(d.fingerprint(), 16),
+	fields := []any{"request", d.request.ID, "upstream", d.upstream.ID, "fingerprint", strconv.FormatUint(uint64(d.keys.request), 16),
 		"segments", strings.Join(segments[:min(len(segments), maxLoggedSegments)], ","), "sent_ms", now.Sub(d.sentAt).Milliseconds()}
 	if !d.outputAt.IsZero() {
 		fields = append(fields, "output_ms", now.Sub(d.outputAt).Milliseconds())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -130,7 +130,8 @@
 // does not hold the lease.
 func (e *exchanger) exchangeOnce(ctx context.Context) error {
 	requestedAt := clock.SinceBoot()
-	request := e.newRequest()
+	report := e.quarantine.report()
+	request := e.newRequest(report)
 	reply, err := e.call(ctx, request)
 	if err != nil {
 		return err
@@ -151,7 +152,9 @@
 	e.applyTables(reply, requestedAt, now)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
-	e.quarantine.apply(reply.Quarantined)
+	if e.quarantine.apply(report, reply) {
+		e.exchangeSoon()
+	}
 	if config := e.config(); config != nil {
 		e.balances.Apply(now, allowance.Shares(config.Workspaces, reply.Hosts), reply.Grants)
 	}
@@ -180,13 +183,14 @@
 	}
 }
 
-func (e *exchanger) newRequest() *coordinator.ExchangeRequest {
+func (e *exchanger) newRequest(report quarantineReport) *coordinator.ExchangeRequest {
 	epoch, version := e.registry.ViewVersion()
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Address: e.settings.PeerListen, Large: e.settings.isLarge(),
 		Epoch: epoch, ViewVersion: version,
 		Demand: e.demand.takeDemand(time.Now()), Running: e.registry.RunningCounts(),
-		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Lost: e.quarantine.takeReport(time.Now()), Tables: map[string]int64{},
+		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Tables: map[string]int64{},
+		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 	}
 	for name, replica := range e.replicas {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -57,6 +58,7 @@
 	cost        float64
 	charged     bool
 	body        []byte
+	keys        quarantineKeys
 	deadline    time.Time // the earlier of the caller's deadline and the route's timeout
 	record      accessRecord
 	departure   departure
@@ -173,12 +175,22 @@
 	return nil
 }
 
-// checkQuarantine refuses a request that has repeatedly crashed upstreams.
+// checkQuarantine refuses a request that crashes upstreams, or that shares with others what
+// crashes upstreams.
 func (in *inbound) checkQuarantine() *refusal {
-	if !in.gateway.exchanger.quarantine.isQuarantined(in.startedAt, in.fingerprint()) {
+	exchanger := in.gateway.exchanger
+	if in.keys.request == 0 {
+		in.keys = newQuarantineKeys(in)
+	}
+	key, remaining := exchanger.quarantine.find(in.keys, exchanger.Reached())
+	if remaining <= 0 {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "request crashes upstreams", retryAfter: quarantineRetryAfter}
+	reason := "request crashes upstreams"
+	if i := slices.Index(in.keys.segments, key); i >= 0 {
+		reason = "prompt segment " + in.request.PromptSegments[i].ID + " crashes upstreams"
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: remaining}
 }
 
 // charge takes the request's cost from the workspace's allowance, waiting for a grant
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,49 +1,40 @@
 package gateway
 
 import (
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
 const (
-	// quarantineThreshold is the number of lost runs, over all hosts, from which a
-	// request is assumed to crash upstreams.
-	quarantineThreshold = 3
-	// lostRunRetention is how long lost runs count after the last one.
+	// lostRunRetention is how long a lost run is reported to new coordinators.
 	lostRunRetention = time.Minute
-	// maxTrackedRequests bounds the number of tracked requests. When it is reached, the
-	// request whose last lost run is oldest is dropped.
-	maxTrackedRequests = 4096
-	// quarantineRetryAfter is the Retry-After for a quarantined request.
-	quarantineRetryAfter = 5 * time.Second
+	// maxLostRuns bounds the lost runs that are kept for reports; the oldest are dropped.
+	maxLostRuns = 1024
+	// answeredAfter is the time of output after which an upstream has survived the
+	// beginning of an answer.
+	answeredAfter = 500 * time.Millisecond
+	// noEpoch stands for no coordinator; epochs are not negative.
+	noEpoch = -1
 )
 
-// requestQuarantine counts, for each request, the runs during which the connection to
-// the upstream broke. The coordinator sums up the counts of all hosts. It is safe for
-// concurrent use.
-type requestQuarantine struct {
-	mu          sync.Mutex
-	lostRuns    map[uint64]lostRuns // of this host, by fingerprint
-	unreported  map[uint64]int      // not yet reported to the coordinator, by fingerprint
-	quarantined map[uint64]bool     // according to the coordinator, by fingerprint
-}
-
-type lostRuns struct {
-	count int
-	last  time.Time
-}
-
-func newRequestQuarantine() *requestQuarantine {
-	return &requestQuarantine{lostRuns: map[uint64]lostRuns{}, unreported: map[uint64]int{}, quarantined: map[uint64]bool{}}
+// quarantineKeys identify what a request may have in common with others that crash
+// upstreams.
+type quarantineKeys struct {
+	request  quarantine.Key
+	segments []quarantine.Key // the shared segments of the prompt, in order
 }
 
-// fingerprint identifies repetitions of a request by its method, host, target, key
-// and body.
-func (in *inbound) fingerprint() uint64 {
+// newQuarantineKeys computes the keys of a request. Repetitions of a request have the same
+// method, host, target, key and body.
+func newQuarantineKeys(in *inbound) quarantineKeys {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, part := range []string{in.httpRequest.Method, in.httpRequest.Host, in.httpRequest.RequestURI, in.request.Key} {
@@ -51,87 +42,198 @@
 		_, _ = digest.Write([]byte{0})  // separates the parts
 	}
 	_, _ = digest.Write(in.body)
-	return digest.Sum64()
+	keys := quarantineKeys{request: quarantine.Key(digest.Sum64())}
+	for _, id := range in.request.SharedSegments() {
+		keys.segments = append(keys.segments, segmentKey(id))
+	}
+	return keys
+}
+
+// segmentKey returns the key of a prompt segment, which is the same on all hosts.
+func segmentKey(id string) quarantine.Key {
+	return quarantine.Key(xxhash.Sum64String("segment\x00" + id))
+}
+
+// all returns the keys of the request and of its segments.
+func (k quarantineKeys) all() []quarantine.Key { return append(slices.Clone(k.segments), k.request) }
+
+// requestQuarantine refuses requests that crash upstreams. It reports the runs that were
+// lost at this host to the coordinator, which decides for all hosts; a host without a
+// coordinator decides from its own lost runs. It is safe for concurrent use.
+type requestQuarantine struct {
+	now     func() time.Duration // the boot clock
+	answers quarantine.Answers
+
+	mu   sync.Mutex
+	own  *quarantine.Tracker // of the runs lost at this host
+	lost []reportedRun
+	// decided are the quarantines of the coordinator, suspected the keys that it asks about.
+	decided   map[quarantine.Key]time.Duration // end of the quarantine
+	suspected map[quarantine.Key]bool
+	epoch     int64 // of the coordinator that replied last
+	informed  int64 // epoch of the coordinator that knows this host's quarantines
+}
+
+// reportedRun is a lost run with the epoch of the coordinator that knows of it.
+type reportedRun struct {
+	quarantine.LostRun
+	at       time.Duration
+	informed int64
 }
 
-// recordLostRun counts a lost run.
-func (q *requestQuarantine) recordLostRun(now time.Time, fingerprint uint64) {
+// quarantineReport is what an exchange reports.
+type quarantineReport struct {
+	epoch       int64 // of the coordinator for which the report is complete
+	lost        []coordinator.LostRun
+	answered    []coordinator.Answered
+	quarantines []coordinator.Quarantine
+}
+
+func newRequestQuarantine() *requestQuarantine {
+	return &requestQuarantine{
+		now: clock.SinceBoot, own: quarantine.NewTracker(),
+		decided: map[quarantine.Key]time.Duration{}, suspected: map[quarantine.Key]bool{}, epoch: noEpoch, informed: noEpoch,
+	}
+}
+
+// recordLostRun records a run that was lost now.
+func (q *requestQuarantine) recordLostRun(run quarantine.LostRun) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	runs, known := q.lostRuns[fingerprint]
-	if !known && len(q.lostRuns) >= maxTrackedRequests {
-		q.dropOldest()
+	now := q.now()
+	q.own.Record(now, now, run)
+	for _, key := range append(slices.Clone(run.Segments), run.Request) {
+		if at, ok := q.answers.At(key); ok {
+			q.own.Answered(at, key)
+		}
+	}
+	q.lost = append(q.lost, reportedRun{LostRun: run, at: now, informed: noEpoch})
+	if len(q.lost) > maxLostRuns {
+		q.lost = slices.Delete(q.lost, 0, len(q.lost)-maxLostRuns)
 	}
-	q.lostRuns[fingerprint] = lostRuns{count: runs.count + 1, last: now}
-	q.unreported[fingerprint] = max(0, q.unreported[fingerprint]) + 1
 }
 
-// clear drops the lost runs of a request that was answered: it does not crash
-// upstreams.
-func (q *requestQuarantine) clear(fingerprint func() uint64) {
+// recordAnswer records that an upstream answered a request, or has been answering it for
+// answeredAfter: it does not crash upstreams.
+func (q *requestQuarantine) recordAnswer(keys quarantineKeys) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.lostRuns) == 0 && len(q.quarantined) == 0 {
-		return
-	}
-	key := fingerprint()
-	_, known := q.lostRuns[key]
-	if !known && !q.quarantined[key] {
-		return
-	}
-	delete(q.lostRuns, key)
-	delete(q.quarantined, key)
-	q.unreported[key] = coordinator.Answered
-}
-
-// dropOldest drops the request whose last lost run is oldest.
-func (q *requestQuarantine) dropOldest() {
-	var oldest uint64
-	var earliest time.Time
-	for fingerprint, runs := range q.lostRuns {
-		if earliest.IsZero() || runs.last.Before(earliest) {
-			oldest, earliest = fingerprint, runs.last
-		}
+	now := q.now()
+	q.answers.Record(now, keys.all()...)
+	for _, key := range keys.all() {
+		q.own.Answered(now, key)
 	}
-	delete(q.lostRuns, oldest)
 }
 
-// expire drops requests whose last lost run is older than age.
-func (q *requestQuarantine) expire(now time.Time, age time.Duration) {
-	for fingerprint, runs := range q.lostRuns {
-		if now.Sub(runs.last) > age {
-			delete(q.lostRuns, fingerprint)
+// find returns the key for which a request is refused the longest, and for how long; 0: it is
+// not quarantined. coordinated reports whether a coordinator decides.
+func (q *requestQuarantine) find(keys quarantineKeys, coordinated bool) (found quarantine.Key, remaining time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	all := keys.all()
+	for _, key := range all {
+		if left := q.decided[key] - now; left > remaining {
+			found, remaining = key, left
 		}
 	}
+	if coordinated {
+		return found, remaining
+	}
+	for _, own := range q.own.Quarantined(now, now) {
+		if left := own.Until - now; left > remaining && slices.Contains(all, own.Key) {
+			found, remaining = own.Key, left
+		}
+	}
+	return found, remaining
 }
 
-// isQuarantined reports whether a request must be refused.
-func (q *requestQuarantine) isQuarantined(now time.Time, fingerprint uint64) bool {
+// isSuspected reports whether a request has something in common with requests whose
+// upstreams crashed, and that nobody is known to have answered lately.
+func (q *requestQuarantine) isSuspected(keys quarantineKeys, coordinated bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	runs := q.lostRuns[fingerprint]
-	return q.quarantined[fingerprint] || (runs.count >= quarantineThreshold && now.Sub(runs.last) < lostRunRetention)
+	all := keys.all()
+	if slices.ContainsFunc(all, func(key quarantine.Key) bool { return q.suspected[key] }) {
+		return true
+	}
+	if coordinated {
+		return false
+	}
+	now := q.now()
+	return slices.ContainsFunc(q.own.Suspected(now, now), func(key quarantine.Key) bool { return slices.Contains(all, key) })
 }
 
-// takeReport returns the counts that were not yet reported to the coordinator.
-func (q *requestQuarantine) takeReport(now time.Time) []coordinator.LostRuns {
+// report returns what the coordinator that replied last does not know yet.
+func (q *requestQuarantine) report() quarantineReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.expire(now, lostRunRetention)
-	var lost []coordinator.LostRuns
-	for fingerprint, count := range q.unreported {
-		lost = append(lost, coordinator.LostRuns{Fingerprint: fingerprint, Count: count})
+	now := q.now()
+	q.lost = slices.DeleteFunc(q.lost, func(run reportedRun) bool { return now-run.at > lostRunRetention })
+	report := quarantineReport{epoch: q.epoch}
+	for _, run := range q.lost {
+		if run.informed != q.epoch {
+			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
+		}
+	}
+	for key, until := range q.decided {
+		report.addAnswer(q, now, key)
+		if q.informed != q.epoch && until > now {
+			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: (until - now).Milliseconds()})
+		}
+	}
+	for key := range q.suspected {
+		report.addAnswer(q, now, key)
 	}
-	clear(q.unreported)
-	return lost
+	return report
 }
 
-// apply replaces the requests that the coordinator has quarantined.
-func (q *requestQuarantine) apply(fingerprints []uint64) {
+func (r *quarantineReport) addAnswer(q *requestQuarantine, now time.Duration, key quarantine.Key) {
+	if at, ok := q.answers.At(key); ok {
+		r.answered = append(r.answered, coordinator.Answered{Key: key, AgeMS: (now - at).Milliseconds()})
+	}
+}
+
+// apply applies the reply to a report. The quarantines of a coordinator that does not know
+// those of this host yet do not replace them. unknown reports whether the reply names
+// suspected keys that the one before did not.
+func (q *requestQuarantine) apply(report quarantineReport, reply *coordinator.ExchangeReply) (unknown bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	clear(q.quarantined)
-	for _, fingerprint := range fingerprints {
-		q.quarantined[fingerprint] = true
+	now := q.now()
+	q.epoch = reply.Epoch
+	if report.epoch == reply.Epoch {
+		q.confirm(report)
+	}
+	if q.informed == reply.Epoch {
+		clear(q.decided)
+	}
+	for _, decided := range reply.Quarantines {
+		q.decided[decided.Key] = now + time.Duration(decided.RemainingMS)*time.Millisecond
+	}
+	for _, key := range reply.Suspected {
+		unknown = unknown || !q.suspected[key]
+	}
+	clear(q.suspected)
+	for _, key := range reply.Suspected {
+		q.suspected[key] = true
 	}
+	return unknown
+}
+
+// confirm records that the coordinator knows of a report.
+func (q *requestQuarantine) confirm(report quarantineReport) {
+	q.informed = report.epoch
+	for _, sent := range report.lost {
+		for i := range q.lost {
+			if q.lost[i].ID == sent.ID {
+				q.lost[i].informed = report.epoch
+			}
+		}
+	}
+}
+
+// runID identifies a run of a request over all hosts.
+func runID(requestID string, run int) uint64 {
+	return xxhash.Sum64String(requestID + "\x00" + strconv.Itoa(run))
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,29 +1,90 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
+// quarantineAt returns a quarantine with a clock that the test sets.
+func quarantineAt(now *time.Duration) *requestQuarantine {
+	q := newRequestQuarantine()
+	q.now = func() time.Duration { return *now }
+	return q
+}
+
+func lostRun(id uint64, born int64, request quarantine.Key, segments ...quarantine.Key) quarantine.LostRun {
+	return quarantine.LostRun{ID: id, Upstream: "u", StartedMS: born, Request: request, Segments: segments}
+}
+
 // Guards against forgetting a request that crashes upstreams because many others lost
 // their connections, as when a data centre is cut off.
 func TestManyLostRunsDropTheOldestOnly(t *testing.T) {
-	q, now := newRequestQuarantine(), time.Now()
-	q.recordLostRun(now, 1)
-	for i := range uint64(maxTrackedRequests - 1) {
-		q.recordLostRun(now.Add(time.Duration(i+1)*time.Microsecond), 100+i)
+	now := time.Hour
+	q := quarantineAt(&now)
+	for i := range uint64(2 * maxLostRuns) {
+		q.recordLostRun(lostRun(i, int64(i), quarantine.Key(100+i)))
 	}
-	later := now.Add(time.Second)
-	for range quarantineThreshold {
-		q.recordLostRun(later, 7)
+	now += time.Second
+	for i := range uint64(3) {
+		q.recordLostRun(lostRun(1_000_000+i, 1, 7))
 	}
-	if !q.isQuarantined(later, 7) {
+	if key, _ := q.find(quarantineKeys{request: 7}, false); key != 7 {
 		t.Error("the request that crashes upstreams is not quarantined")
 	}
-	if len(q.lostRuns) > maxTrackedRequests {
-		t.Errorf("%d requests tracked", len(q.lostRuns))
+	if len(q.lost) > maxLostRuns {
+		t.Errorf("%d lost runs kept", len(q.lost))
+	}
+	if slices.ContainsFunc(q.lost, func(run reportedRun) bool { return run.Request == 100 }) {
+		t.Error("the oldest lost run is still kept")
+	}
+}
+
+// Guards against lost runs that never reach the coordinator because the exchange that
+// carried them failed, and against a new coordinator that does not learn of them.
+func TestLostRunsAreReportedUntilTheCoordinatorKnows(t *testing.T) {
+	now := time.Hour
+	q := quarantineAt(&now)
+	q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 1})
+	q.recordLostRun(lostRun(1, 1, 7))
+	if report := q.report(); len(report.lost) != 1 {
+		t.Fatalf("%d lost runs reported", len(report.lost))
+	}
+	report := q.report() // the exchange with the one before failed
+	if len(report.lost) != 1 {
+		t.Errorf("%d lost runs reported after a failed exchange", len(report.lost))
+	}
+	q.apply(report, &coordinator.ExchangeReply{Epoch: 1})
+	if report = q.report(); len(report.lost) != 0 {
+		t.Errorf("%d lost runs reported though the coordinator knows them", len(report.lost))
+	}
+	q.apply(report, &coordinator.ExchangeReply{Epoch: 2})
+	if report = q.report(); len(report.lost) != 1 {
+		t.Errorf("%d lost runs reported to a new coordinator", len(report.lost))
+	}
+}
+
+// Guards against dropping quarantines at a change of the coordinator: the new one does not
+// know them at first.
+func TestNewCoordinatorLearnsQuarantines(t *testing.T) {
+	now := time.Hour
+	q := quarantineAt(&now)
+	keys := quarantineKeys{request: 1, segments: []quarantine.Key{7}}
+	q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 1})
+	q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 1, Quarantines: []coordinator.Quarantine{{Key: 7, RemainingMS: 60_000}}})
+	q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 2})
+	if key, _ := q.find(keys, true); key != 7 {
+		t.Error("the first reply of a new coordinator lifted the quarantine")
+	}
+	report := q.report()
+	if len(report.quarantines) != 1 || report.quarantines[0].Key != 7 {
+		t.Errorf("quarantines reported to the new coordinator: %v", report.quarantines)
 	}
-	if _, known := q.lostRuns[1]; known {
-		t.Error("the oldest request is still tracked")
+	q.apply(report, &coordinator.ExchangeReply{Epoch: 2})
+	if _, remaining := q.find(keys, true); remaining > 0 {
+		t.Error("a quarantine is kept that the coordinator has lifted")
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,6 +44,10 @@
 			return false, d.timedOut()
 		}
 		d.log("Answer broken off.", id, err)
+		var incomplete *upstream.IncompleteResponseError
+		if errors.As(err, &incomplete) {
+			d.recordLostRun()
+		}
 		return d.handleLostRun(id, "answer broken off", OutcomeFailed)
 	}
 	if response.Status >= http.StatusInternalServerError {
@@ -52,7 +56,7 @@
 			return true, nil
 		}
 	} else {
-		d.recordSuccess(id)
+		d.recordSuccess(id, response)
 	}
 	d.writeHeader(response)
 	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body.data)))
@@ -62,10 +66,13 @@
 	return false, nil
 }
 
-// recordSuccess records a complete response.
-func (d *dispatcher) recordSuccess(id string) {
+// recordSuccess records a complete response. One that ends with its connection does not show
+// that the upstream has not crashed.
+func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
-	d.gateway.exchanger.quarantine.clear(d.fingerprint)
+	if response.HasEnd() && response.Status < http.StatusMultipleChoices {
+		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
+	}
 }
 
 // UpstreamStatusError reports an error response of an upstream.
@@ -122,7 +129,7 @@
 		}
 		if errors.Is(readErr, io.EOF) && len(buffer.data) == 0 {
 			d.startStream(response)
-			d.recordSuccess(id)
+			d.recordSuccess(id, response)
 			return false, nil
 		}
 		if readErr != nil {
@@ -142,14 +149,24 @@
 	d.record.status = response.Status
 }
 
+// recordOutput records that the current run has produced an event.
+func (d *dispatcher) recordOutput() {
+	now := time.Now()
+	switch {
+	case d.outputAt.IsZero():
+		d.outputAt = now
+	case !d.survived && now.Sub(d.outputAt) >= answeredAfter:
+		d.survived = true
+		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
+	}
+}
+
 // forwardEvents sends complete events to the caller.
 func (d *dispatcher) forwardEvents(response *upstream.Response, events []byte) error {
 	d.startStream(response)
 	d.relay.lastEventID = lastEventID(events, d.relay.lastEventID)
 	d.record.recordFirstEvent(d.startedAt)
-	if d.outputAt.IsZero() {
-		d.outputAt = time.Now()
-	}
+	d.recordOutput()
 	if _, err := d.writer.Write(events); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/quarantine/answers.go
@@ -0,0 +1,40 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+)
+
+// maxAnswers bounds the keys of one generation of answers.
+const maxAnswers = 8192
+
+// Answers remembers which keys were answered at this host lately, for at least answerWindow.
+// It is safe for concurrent use.
+type Answers struct {
+	mu                sync.Mutex
+	current, previous map[Key]time.Duration // time of the latest answer
+	rotatedAt         time.Duration
+}
+
+// Record records that requests with these keys were answered.
+func (a *Answers) Record(now time.Duration, keys ...Key) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.current == nil || now-a.rotatedAt > answerWindow || len(a.current) >= maxAnswers {
+		a.current, a.previous, a.rotatedAt = map[Key]time.Duration{}, a.current, now
+	}
+	for _, key := range keys {
+		a.current[key] = now
+	}
+}
+
+// At returns when a key was answered last.
+func (a *Answers) At(key Key) (at time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at, ok = a.current[key]; ok {
+		return at, true
+	}
+	at, ok = a.previous[key]
+	return at, ok
+}
--- /dev/null
+++ b/internal/quarantine/evaluate.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Quarantined returns the keys that hosts refuse. consulted is the time before which all
+// hosts have been asked about the keys that were suspected then, and have replied.
+func (t *Tracker) Quarantined(now, consulted time.Duration) []Quarantine {
+	t.refresh(now, consulted)
+	return t.quarantined
+}
+
+// Suspected returns the keys of which hosts are asked whether they were answered. A request
+// that has one should not be given a second upstream.
+func (t *Tracker) Suspected(now, consulted time.Duration) []Key {
+	t.refresh(now, consulted)
+	return t.suspected
+}
+
+func (t *Tracker) refresh(now, consulted time.Duration) {
+	if !t.changed && now-t.evaluatedAt < refreshInterval {
+		return
+	}
+	t.changed, t.evaluatedAt = false, now
+	t.expire(now)
+	t.reviewHolds(now)
+	for _, key := range t.candidates(now, consulted) {
+		if e := t.evidence[key]; !t.isExplained(e) {
+			h := &hold{until: e.last(1) + initialQuarantine, duration: initialQuarantine}
+			t.hold(key, h)
+			t.decide(Decision{Key: key, Request: e.isRequest(), Crashes: len(e.crashes), Until: h.until})
+		}
+	}
+	t.publish(now)
+}
+
+func (t *Tracker) decide(d Decision) {
+	if len(t.decisions) < maxQuarantined {
+		t.decisions = append(t.decisions, d)
+	}
+}
+
+// TakeDecisions returns the decisions since the last call.
+func (t *Tracker) TakeDecisions() []Decision {
+	taken := t.decisions
+	t.decisions = nil
+	return taken
+}
+
+// expire drops crashes that are older than crashRetention.
+func (t *Tracker) expire(now time.Duration) {
+	kept := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool { return now-c.at > crashRetention })
+	if len(kept) == len(t.crashes) {
+		return
+	}
+	t.crashes = kept
+	t.rebuild()
+	t.changed = false
+}
+
+// reviewHolds lifts quarantines of keys that were answered, extends those of keys that
+// crash upstreams further, and drops those whose probation has ended.
+func (t *Tracker) reviewHolds(now time.Duration) {
+	for key, h := range t.holds {
+		e := t.evidence[key]
+		answeredAt, answered := t.answers[key]
+		switch {
+		case answered && answeredAt > h.until, now > h.until+probationTime:
+			delete(t.holds, key)
+		case e == nil:
+		case t.isAnswered(key, e):
+			delete(t.holds, key)
+			t.decide(Decision{Key: key, Request: e.isRequest(), Lifted: true, Crashes: len(e.crashes)})
+		case e.last(1) > h.until:
+			h.duration = min(2*h.duration, maxQuarantine)
+			h.until = e.last(1) + h.duration
+			t.decide(Decision{Key: key, Request: e.isRequest(), Crashes: len(e.crashes), Until: h.until})
+		default:
+			h.until = max(h.until, e.last(1)+h.duration)
+		}
+	}
+}
+
+// isAnswered reports whether a key was answered too lately to be what crashes upstreams.
+func (t *Tracker) isAnswered(key Key, e *evidence) bool {
+	at, ok := t.answers[key]
+	return ok && at > e.last(crashThreshold)-answerWindow
+}
+
+// candidates returns the keys with enough crashes to be quarantined, those of most crashes
+// first. Of keys with equally many the deepest comes first: the segments before it are
+// shared by more requests, so it says best what the crashes have in common.
+func (t *Tracker) candidates(now, consulted time.Duration) []Key {
+	var keys []Key
+	for key, e := range t.evidence {
+		settled := e.isRequest() || e.suspectedAt < consulted || now-e.suspectedAt > maxConsultation
+		if len(e.crashes) >= crashThreshold && settled && t.holds[key] == nil && !t.isAnswered(key, e) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		x, y := t.evidence[a], t.evidence[b]
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(y.depth, x.depth), cmp.Compare(a, b))
+	})
+	return keys
+}
+
+// isExplained reports whether quarantined keys explain the crashes that speak against a
+// key. A segment explains each crash in which it stood. A request explains those of a
+// segment only if it explains all of them: otherwise the segment is what several requests
+// that crash upstreams have in common.
+func (t *Tracker) isExplained(e *evidence) bool {
+	left := slices.Clone(e.crashes)
+	for key := range t.holds {
+		other := t.evidence[key]
+		if other == nil {
+			continue
+		}
+		unexplained := without(e.crashes, other.crashes)
+		if len(unexplained) == 0 {
+			return true
+		}
+		if !other.isRequest() {
+			left = without(left, other.crashes)
+		}
+	}
+	return len(left) < crashThreshold
+}
+
+func without(crashes, explained []*crash) []*crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return slices.Contains(explained, c) })
+}
+
+// publish computes the lists of quarantined and suspected keys.
+func (t *Tracker) publish(now time.Duration) {
+	t.quarantined, t.suspected = nil, nil
+	for key, h := range t.holds {
+		if now <= h.until {
+			t.quarantined = append(t.quarantined, Quarantine{Key: key, Until: h.until})
+		}
+	}
+	for key, e := range t.evidence {
+		if len(e.crashes) >= suspicionThreshold && t.holds[key] == nil && !t.isAnswered(key, e) {
+			t.suspected = append(t.suspected, key)
+		}
+	}
+	slices.SortFunc(t.quarantined, func(a, b Quarantine) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(t.suspected, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(len(t.evidence[b].crashes), len(t.evidence[a].crashes)), cmp.Compare(a, b))
+	})
+	t.suspected = t.suspected[:min(len(t.suspected), maxSuspected)]
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -243,7 +243,7 @@
 // an IncompleteResponseError if no further response follows; the request may have run.
 func (r *Response) SkipForeign() error {
 	r.conn.tainted = true
-	if r.Length < 0 && !slices.Contains(r.head.TransferEncoding, "chunked") {
+	if !r.HasEnd() {
 		return &IncompleteResponseError{HeaderReceived: true, Cause: &ForeignResponseError{}}
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(r, maxDiscardBytes)); err != nil {
@@ -259,6 +259,12 @@
 	return nil
 }
 
+// HasEnd reports whether the response states where its body ends. Otherwise it ends with
+// the connection, which a crash of the upstream ends, too.
+func (r *Response) HasEnd() bool {
+	return r.Length >= 0 || slices.Contains(r.head.TransferEncoding, "chunked")
+}
+
 // RecordRefused records that the upstream stated that it did not run the request. If the
 // request is sent to the upstream again, it goes out on another connection: on this one, a
 // second copy of the refusal would look like the response to the second send.
