Ask the hosts again before a segment is quarantined

Cause: a segment was asked about once, at its second crash. Change: what becomes suspected again is named to all hosts again first. Test: TestHostsAreConsultedAgain, failed before.

--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -51,7 +51,7 @@
 // maxReportedMS bounds the ages and remaining times that hosts report: one hour.
 const maxReportedMS = 3_600_000
 
-// consulted returns the time before which suspected keys have been named to all hosts whose
+// consulted returns the time up to which suspected keys have been named to all hosts whose
 // answers have been reported since.
 func (r *crashReports) consulted(now time.Duration) time.Duration {
 	consulted := now
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Quarantined returns the keys that hosts refuse. consulted is the time before which all
+// Quarantined returns the keys that hosts refuse. consulted is the time up to which all
 // hosts have been asked about the keys that were suspected then, and have replied.
 func (t *Tracker) Quarantined(now, consulted time.Duration) []Quarantine {
 	t.refresh(now, consulted)
@@ -21,7 +21,7 @@
 }
 
 func (t *Tracker) refresh(now, consulted time.Duration) {
-	if !t.changed && now-t.evaluatedAt < refreshInterval {
+	if !t.changed && !t.consulting && now-t.evaluatedAt < refreshInterval {
 		return
 	}
 	t.changed, t.evaluatedAt = false, now
@@ -95,11 +95,17 @@
 // shared by more requests, so it says best what the crashes have in common.
 func (t *Tracker) candidates(now, consulted time.Duration) []Key {
 	var keys []Key
+	t.consulting = false
 	for key, e := range t.evidence {
-		settled := e.isRequest() || e.suspectedAt < consulted || now-e.suspectedAt > maxConsultation
-		if len(e.crashes) >= crashThreshold && settled && t.holds[key] == nil && !t.isAnswered(key, e) {
+		if len(e.crashes) < crashThreshold || t.holds[key] != nil || t.isAnswered(key, e) {
+			continue
+		}
+		asked := e.suspected && (e.suspectedAt <= consulted || now-e.suspectedAt > maxConsultation)
+		if e.isRequest() || asked {
 			keys = append(keys, key)
+			continue
 		}
+		t.consulting = true
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
 		x, y := t.evidence[a], t.evidence[b]
@@ -143,7 +149,12 @@
 		}
 	}
 	for key, e := range t.evidence {
-		if len(e.crashes) >= suspicionThreshold && t.holds[key] == nil && !t.isAnswered(key, e) {
+		suspected := len(e.crashes) >= suspicionThreshold && t.holds[key] == nil && !t.isAnswered(key, e)
+		if suspected && !e.suspected {
+			e.suspectedAt = now
+		}
+		e.suspected = suspected
+		if suspected {
 			t.suspected = append(t.suspected, key)
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -93,7 +93,8 @@
 	// crashes has each crash once for a segment, and once a run for a request: one crash
 	// ends many runs with the same segment, but hardly two of the same request.
 	crashes     []*crash
-	suspectedAt time.Duration // when the second crash was reported
+	suspected   bool          // hosts are asked whether the key was answered
+	suspectedAt time.Duration // since when
 }
 
 func (e *evidence) isRequest() bool { return e.depth == requestDepth }
@@ -118,6 +119,7 @@
 
 	evaluatedAt time.Duration
 	changed     bool
+	consulting  bool // a key would be quarantined if all hosts had been asked
 	quarantined []Quarantine
 	suspected   []Key
 	decisions   []Decision // not yet taken
@@ -143,7 +145,7 @@
 	}
 	of.runs = append(of.runs, run)
 	t.changed = true
-	t.addEvidence(now, of, run)
+	t.addEvidence(of, run)
 	if len(t.crashes) > maxCrashes {
 		t.crashes = t.crashes[droppedCrashes:]
 		t.rebuild()
@@ -162,14 +164,14 @@
 	return c
 }
 
-func (t *Tracker) addEvidence(now time.Duration, of *crash, run LostRun) {
+func (t *Tracker) addEvidence(of *crash, run LostRun) {
 	for depth, segment := range run.Segments {
-		t.addCrash(now, of, segment, depth)
+		t.addCrash(of, segment, depth)
 	}
-	t.addCrash(now, of, run.Request, requestDepth)
+	t.addCrash(of, run.Request, requestDepth)
 }
 
-func (t *Tracker) addCrash(now time.Duration, of *crash, key Key, depth int) {
+func (t *Tracker) addCrash(of *crash, key Key, depth int) {
 	e := t.evidence[key]
 	if e == nil {
 		e = &evidence{}
@@ -181,9 +183,6 @@
 	}
 	e.crashes = append(e.crashes, of)
 	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
-	if len(e.crashes) == suspicionThreshold {
-		e.suspectedAt = now
-	}
 }
 
 // rebuild computes the evidence anew from the crashes that are left.
@@ -192,11 +191,11 @@
 	t.evidence = map[Key]*evidence{}
 	for _, c := range t.crashes {
 		for _, run := range c.runs {
-			t.addEvidence(c.at, c, run)
+			t.addEvidence(c, run)
 		}
 	}
 	for key, e := range t.evidence {
-		e.suspectedAt = previous[key].suspectedAt
+		e.suspected, e.suspectedAt = previous[key].suspected, previous[key].suspectedAt
 	}
 	maps.DeleteFunc(t.answers, func(key Key, _ time.Duration) bool { return !t.isTracked(key) })
 	t.changed = true
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -32,7 +32,8 @@
 // keys returns the quarantined keys, all hosts having been consulted.
 func (s *scenario) keys(now time.Duration) []Key {
 	var keys []Key
-	for _, q := range s.Quarantined(now, now) {
+	s.Quarantined(now, now) // names the suspected keys
+	for _, q := range s.Quarantined(now+1, now+1) {
 		keys = append(keys, q.Key)
 	}
 	return keys
@@ -96,12 +97,34 @@
 	s.expect(t, start+2*time.Second, "an answer was reported")
 }
 
+// Guards against refusing a segment that many requests share because its answers were
+// reported long ago: the hosts are asked again.
+func TestHostsAreConsultedAgain(t *testing.T) {
+	s := newScenario()
+	s.lose(start, 1, 101, first)
+	s.lose(start, 2, 102, first)
+	s.expect(t, start, "two crashes")
+	s.Answered(start, first)
+	s.expect(t, start+time.Second, "an answer")
+	later := start + 2*answerWindow
+	for i := range int64(3) {
+		s.lose(later, 10+i, Key(200+i), first)
+	}
+	s.Quarantined(later, later-1)
+	if quarantined := s.Quarantined(later+refreshInterval, later-1); len(quarantined) != 0 {
+		t.Errorf("quarantined %v before the hosts were asked again", quarantined)
+	}
+	s.Answered(later, first)
+	s.expect(t, later+2*maxConsultation, "another answer")
+}
+
 // Guards against waiting for a host that does not report any more.
 func TestSilentHostDoesNotDelayAQuarantineForLong(t *testing.T) {
 	s := newScenario()
 	for i := range int64(3) {
 		s.lose(start, i, Key(100+i), bad)
 	}
+	s.Quarantined(start, 0)
 	if quarantined := s.Quarantined(start+maxConsultation+1, 0); len(quarantined) != 1 {
 		t.Errorf("quarantined %v", quarantined)
 	}
