Join only what continues a stream

TestErrorAfterABrokenStream, 13 answers of the next engine; three failed before: a run that began anew was joined to the stream, text that looks like an event ('error: ...') was forwarded, and a head without a body ended the stream as complete. Cause: an answer that ends with its connection was taken as complete at any place, and a resumed run was not compared with what the caller has. Change: a resumed run must continue after the last event; a stream that ends with its connection needs an event; one without event IDs is not resumed.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -275,12 +275,15 @@
 		d.recordLostRun()
 	}
 	d.tried[id] = true
-	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil && !d.isSuspected() {
+	if d.route.Repeatable() && d.runs < d.route.MaxUpstreams && d.ctx.Err() == nil && d.canContinue() && !d.isSuspected() {
 		return true, nil
 	}
 	return false, &refusal{status: http.StatusBadGateway, reason: reason}
 }
 
+// canContinue reports whether another run can continue where the caller's copy ends.
+func (d *dispatcher) canContinue() bool { return !d.relay.started || d.relay.lastEventID != "" }
+
 // isSuspected reports whether the request may crash a second upstream.
 func (d *dispatcher) isSuspected() bool {
 	return d.gateway.exchanger.quarantine.isSuspected(d.keys, d.gateway.exchanger.Reached())
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 )
 
@@ -57,3 +58,50 @@
 	}
 	return previous
 }
+
+// ResumeError reports an event of a resumed run that does not continue the stream.
+type ResumeError struct{ After, ID string }
+
+// Error implements error.
+func (e *ResumeError) Error() string {
+	return "event " + strconv.Quote(e.ID) + " does not continue the stream after event " + strconv.Quote(e.After)
+}
+
+// checkResumed returns a ResumeError if a complete event of a resumed run has no ID, or one
+// that does not increase: the text of an error may look like an event, and an upstream may
+// begin anew.
+func checkResumed(events []byte, after string) error {
+	text := strings.ReplaceAll(string(events), "\r\n", "\n")
+	for _, event := range strings.Split(strings.TrimSuffix(text, "\n\n"), "\n\n") {
+		if isComment(event) {
+			continue
+		}
+		id := lastEventID([]byte(event), "")
+		if id == "" || !increases(after, id) {
+			return &ResumeError{After: after, ID: id}
+		}
+		after = id
+	}
+	return nil
+}
+
+// isComment reports whether all lines of an event are comments.
+func isComment(event string) bool {
+	for line := range strings.Lines(event) {
+		if strings.TrimSpace(line) != "" && !strings.HasPrefix(line, ":") {
+			return false
+		}
+	}
+	return true
+}
+
+// increases reports whether an ID is greater than the one before. IDs that are not both
+// numbers must differ.
+func increases(before, id string) bool {
+	first, errFirst := strconv.ParseUint(before, 10, 64)
+	second, errSecond := strconv.ParseUint(id, 10, 64)
+	if errFirst != nil || errSecond != nil {
+		return id != before
+	}
+	return second > first
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -111,23 +111,30 @@
 
 // forwardStream forwards events as they arrive. It forwards complete events only, so
 // that a resumed stream continues where the caller's copy ends. The header is sent with
-// the first of them: until then the request can still be refused, or run elsewhere.
+// the first of them: until then the request can still be refused, or run elsewhere. A stream
+// that ends with its connection before its first event has been broken off.
 func (d *dispatcher) forwardStream(id string, response *upstream.Response) (bool, *refusal) {
 	buffer := responseBuffer{budget: d.gateway.buffers, limit: maxEventBytes}
 	defer buffer.free()
+	resumed := d.relay.started
 	for {
 		readErr := buffer.readSome(response)
 		complete := buffer.data[:completeEventsLength(buffer.data)]
 		if err := checkEvents(complete); err != nil {
 			return d.handleBrokenStream(id, err)
 		}
+		if resumed {
+			if err := checkResumed(complete, d.relay.lastEventID); err != nil {
+				return d.handleBrokenStream(id, err)
+			}
+		}
 		if len(complete) > 0 {
 			if err := d.forwardEvents(response, complete); err != nil {
 				return false, nil // the caller disconnected; the end of the context cancels the run
 			}
 			buffer.consume(len(complete))
 		}
-		if errors.Is(readErr, io.EOF) && len(buffer.data) == 0 {
+		if errors.Is(readErr, io.EOF) && len(buffer.data) == 0 && (response.HasEnd() || !d.outputAt.IsZero()) {
 			d.startStream(response)
 			d.recordSuccess(id, response)
 			return false, nil
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -35,23 +35,31 @@
 // newRawWorker starts a worker and makes it the only one of the plain service, or the
 // only engine, with model m1 and adapter a1 of it.
 func (f *testFleet) newRawWorker(service string, answer func(net.Conn, *http.Request)) *rawWorker {
+	f.t.Helper()
+	if service == "llm" {
+		f.store.Remove("servers", f.engine.ID)
+	} else {
+		for _, ledger := range f.ledgers {
+			f.store.Remove("servers", ledger.ID)
+		}
+	}
+	return f.addRawWorker("raw-"+service, service, answer)
+}
+
+// addRawWorker starts a worker of a service, beside those that it has.
+func (f *testFleet) addRawWorker(id, service string, answer func(net.Conn, *http.Request)) *rawWorker {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", f.loopback+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	w := &rawWorker{id: "raw-" + service, address: listener.Addr().String(), answer: answer}
+	w := &rawWorker{id: id, address: listener.Addr().String(), answer: answer}
 	f.t.Cleanup(func() { _ = listener.Close() })
 	go w.serve(listener)
 	w.entry = f.ledgers[0].Entry("ready")
 	w.entry["service"], w.entry["address"] = service, w.address
 	if service == "llm" {
 		w.entry["models"] = []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{"a1"}}}
-		f.store.Remove("servers", f.engine.ID)
-	} else {
-		for _, ledger := range f.ledgers {
-			f.store.Remove("servers", ledger.ID)
-		}
 	}
 	f.store.Set("servers", w.id, w.entry)
 	time.Sleep(tableReadTime)
