Refuse what is read too late in a planned stop, and answer what still runs

What callers saw: requests read late in the grace, on kept connections or with a slow body, were passed on, unsafe ones too, and cut off without an answer at its end. Cause: a stopping host sent requests to upstreams as long as it read any, and closed the connections of what was left. TestTimedOutTellsCallersThatLeft gets a shutdown state; its checks are unchanged.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -61,6 +61,7 @@
 func (in *inbound) dispatch() *refusal {
 	ctx, cancel := context.WithDeadline(in.httpRequest.Context(), in.deadline)
 	defer cancel()
+	defer in.gateway.shutdown.onEnd(cancel)()
 	d := &dispatcher{
 		inbound: in, ctx: ctx, tried: map[string]bool{},
 		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
@@ -112,6 +113,9 @@
 // send sends the request to one upstream. again reports that another attempt should
 // follow.
 func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
+	if d.gateway.shutdown.tooLateToSend() {
+		return false, shuttingDown()
+	}
 	if d.sends >= maxSends || d.dials >= maxDials || d.withheld >= maxWithheld {
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams refused", retryAfter: shortRetryAfter}
 	}
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -26,7 +26,7 @@
 			cancel()
 		}
 		request := httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
-		d := &dispatcher{inbound: &inbound{httpRequest: request}, runs: test.runs}
+		d := &dispatcher{inbound: &inbound{gateway: &Gateway{shutdown: newShutdown()}, httpRequest: request}, runs: test.runs}
 		if r := d.timedOut(); r.status != test.status || r.reason != test.reason {
 			t.Errorf("%+v: %d %q", test, r.status, r.reason)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,21 +65,21 @@
 
 // Gateway is one gateway host. Its ServeHTTP handles callers' requests.
 type Gateway struct {
-	settings         Settings
-	options          Options
-	log              logr.Logger
-	protocol         call.Protocol
-	config           *configuration
-	registry         *Registry
-	connections      *upstream.Pool
-	buffers          *bufferBudget
-	elector          *lease.Elector
-	coordinator      *coordinator.Coordinator
-	exchanger        *exchanger
-	metrics          *metrics
-	inFlight         atomic.Int64
-	draining         atomic.Bool
-	shutdownDeadline atomic.Pointer[time.Time] // of a shutdown; nil: none in progress
+	settings    Settings
+	options     Options
+	log         logr.Logger
+	protocol    call.Protocol
+	config      *configuration
+	registry    *Registry
+	connections *upstream.Pool
+	buffers     *bufferBudget
+	elector     *lease.Elector
+	coordinator *coordinator.Coordinator
+	exchanger   *exchanger
+	metrics     *metrics
+	inFlight    atomic.Int64
+	draining    atomic.Bool
+	shutdown    *shutdown
 }
 
 // New returns a gateway that is idle until Run.
@@ -90,8 +90,8 @@
 	s := options.Settings
 	g := &Gateway{
 		settings: s, options: options, log: options.Log, protocol: options.Protocol, connections: upstream.NewPool(),
-		buffers: newBufferBudget(s.MemoryMB),
-		config:  &configuration{decode: options.DecodeConfig, log: options.Log},
+		buffers: newBufferBudget(s.MemoryMB), shutdown: newShutdown(),
+		config: &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
 	g.config.replica.OnChange = g.config.apply
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -148,9 +148,12 @@
 	}
 	controller := http.NewResponseController(in.writer)
 	_ = controller.SetReadDeadline(in.deadline) // the writers of net/http support it
+	stopWaiting := in.gateway.shutdown.onEnd(func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(in.writer, in.httpRequest.Body, limit))
 	var tooLarge *http.MaxBytesError
-	switch {
+	switch ended := !stopWaiting(); {
+	case ended && err == nil:
+		return shuttingDown()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The read deadline stays: net/http reads the rest of a body before it responds.
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not received in time"}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/drain"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
@@ -38,11 +37,6 @@
 	followerConfigWatchTimeout   = 1100 * time.Millisecond
 	followerUpstreamWatchTimeout = 1500 * time.Millisecond
 	followerUpstreamWatchPause   = 600 * time.Millisecond
-	// drainDelay is the time between reporting not ready and closing the listener, in
-	// which the load balancer notices.
-	drainDelay = 2600 * time.Millisecond
-	// shutdownMargin is the part of the shutdown timeout that is left for the exit.
-	shutdownMargin = 250 * time.Millisecond
 	// sweepInterval is the interval of closing idle connections and removing expired
 	// registry entries.
 	sweepInterval = time.Second
@@ -120,7 +114,7 @@
 	}()
 	select {
 	case <-ctx.Done():
-		g.shutdown(func(ctx context.Context) error { return connections.Stop(ctx, server, l.callers, served) })
+		g.shutDown(func(ctx context.Context) error { return connections.Stop(ctx, server, l.callers, served) })
 		_ = server.Close() // ends what the shutdown timeout left over
 	case <-served:
 	}
@@ -196,25 +190,3 @@
 		}
 	}
 }
-
-// shutsDownWithin reports whether a shutdown ends within a time.
-func (g *Gateway) shutsDownWithin(d time.Duration) bool {
-	deadline := g.shutdownDeadline.Load()
-	return deadline != nil && time.Until(*deadline) < d
-}
-
-// shutdown reports not ready, releases the lease and stops the callers' server, which
-// finishes the requests in progress, up to the shutdown timeout.
-func (g *Gateway) shutdown(stop func(context.Context) error) {
-	deadline := time.Now().Add(g.settings.ShutdownTimeout() - shutdownMargin)
-	g.shutdownDeadline.Store(&deadline)
-	g.draining.Store(true)
-	g.log.Info("Shutting down.", "requests", g.inFlight.Load(), "coordinator", g.elector.Held())
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	g.elector.Stop(ctx)
-	clock.Sleep(ctx, drainDelay)
-	if err := stop(ctx); err != nil {
-		g.log.Info("Shutdown timeout reached; closing connections with requests in progress.", "requests", g.inFlight.Load(), "error", err.Error())
-	}
-}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -14,9 +14,6 @@
 	// minRunTime is the part of the caller timeout that is reserved for the run
 	// itself.
 	minRunTime = 250 * time.Millisecond
-	// minDrainRunTime is the time to the end of a shutdown below which waiting
-	// requests are refused: a run that starts later might not finish.
-	minDrainRunTime = 4 * time.Second
 	// maxUnestimatedWait bounds the wait for a model without an estimate of when it
 	// is ready.
 	maxUnestimatedWait = 700 * time.Millisecond
@@ -191,8 +188,8 @@
 		return d.timedOut()
 	case known && readyIn > left:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetryAfter, readyIn)}
-	case g.shutsDownWithin(minDrainRunTime):
-		return &refusal{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: shortRetryAfter}
+	case g.shutdown.tooLateToWait():
+		return shuttingDown()
 	case left <= 0, !known && now.Sub(d.startedAt) > maxUnestimatedWait:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetryAfter}
 	}
@@ -220,6 +217,9 @@
 // a disconnected caller is sent nothing.
 func (d *dispatcher) timedOut() *refusal {
 	r := &refusal{status: http.StatusServiceUnavailable, reason: "time is up before a run", retryAfter: shortRetryAfter}
+	if d.gateway.shutdown.ending() {
+		r = shuttingDown()
+	}
 	if d.runs > 0 {
 		r = &refusal{status: http.StatusGatewayTimeout, reason: "time is up"}
 	}
--- a/tests/gateway/stop_test.go
+++ b/tests/gateway/stop_test.go
@@ -100,3 +100,63 @@
 		t.Errorf("only %d requests were sent", sent)
 	}
 }
+
+// waitInStop waits until a time after the stop of a host.
+func waitInStop(stoppedAt time.Time, after time.Duration) {
+	time.Sleep(time.Until(stoppedAt.Add(after)))
+}
+
+// Guards against requests that are read late in a planned stop, passed on, and cut off
+// without an answer at its end, among them requests that may not run twice (check LOST).
+func TestRequestLateInAStopIsRefused(t *testing.T) {
+	f := newTestFleet(t, 1)
+	worker := f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		time.Sleep(2500 * time.Millisecond)
+		fmt.Fprintf(conn, "%s\r\nContent-Length: 2\r\n\r\nok", answerHeader(request))
+	})
+	kept, slow := f.dialHost(0), f.dialHost(0)
+	text := rawRequest("/withdraw/slow", "slow-body", "", "lot")
+	if _, err := slow.Write(text[:len(text)-1]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.hosts[0].stop()
+	stoppedAt := time.Now()
+	waitInStop(stoppedAt, 2200*time.Millisecond)
+	kept.send(t, "/withdraw/kept", "kept", "")
+	if _, err := slow.Write(text[len(text)-1:]); err != nil {
+		t.Fatal(err)
+	}
+	for name, caller := range map[string]*rawCaller{"kept connection": kept, "slow body": slow} {
+		if status := caller.receive(t); status != http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d, want 503", name, status)
+		}
+	}
+	if since := time.Since(stoppedAt); since > 2700*time.Millisecond {
+		t.Errorf("refused only %v after the stop had begun", since)
+	}
+	if arrived := worker.arrived(time.Time{}); arrived != 0 {
+		t.Errorf("%d requests reached the worker", arrived)
+	}
+}
+
+// Guards against cutting off, without an answer, a request that is still running at the end
+// of a planned stop.
+func TestRunningRequestAtTheEndOfAStopIsAnswered(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.newRawWorker("ledger", func(conn net.Conn, _ *http.Request) { untilClosed(conn) })
+	running, unread := f.dialHost(0), f.dialHost(0)
+	f.hosts[0].stop()
+	waitInStop(time.Now(), 500*time.Millisecond)
+	running.send(t, "/withdraw/running", "running", "")
+	text := rawRequest("/withdraw/unread", "unread", "", "lot")
+	if _, err := unread.Write(text[:len(text)-1]); err != nil {
+		t.Fatal(err)
+	}
+	if status := running.receive(t); status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
+		t.Errorf("running request: status %d, want one that promises nothing", status)
+	}
+	if status := unread.receive(t); status != http.StatusRequestTimeout && status != http.StatusServiceUnavailable {
+		t.Errorf("request whose body has not arrived: status %d, want one that says that it did not run", status)
+	}
+}
