Cancel runs of a quarantined segment that have not begun to answer

What callers saw: an engine that held requests with the segment when it was quarantined crashed all the same, with the streams of others. Cause: a quarantine held for later sends only. Change: the runs whose request has the key and no output yet are cancelled, which closes their connections; the callers get 502. TestWaitingRunsOfAQuarantinedSegmentAreCancelled failed without the cancellation (three requests stayed until 504). The deadline of the requests in the test of the segment is 4 s, the route's.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -50,6 +50,9 @@
 	withheld int
 	relay    relay
 	upstream *catalog.Upstream // of the current run
+	runCtx   context.Context   // of the current run
+	// stopWatch ends the watch for a quarantine that cancels the current run.
+	stopWatch func()
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
 	// not yet.
 	sentAt, outputAt time.Time
@@ -127,8 +130,10 @@
 	d.upstream = candidate.Upstream
 	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter)
 	defer release()
-	ctx, cancel := context.WithCancel(d.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(d.ctx)
+	defer cancel(nil)
+	d.runCtx, d.stopWatch = ctx, d.gateway.exchanger.quarantine.watch(d.keys, cancel)
+	defer d.stopWatch()
 	d.departure.enter(stageSend)
 	withheld := d.withheld
 	response, err := d.gateway.connections.Do(ctx, d.upstreamRequest(candidate.Upstream))
@@ -251,11 +256,31 @@
 	if d.ctx.Err() != nil {
 		return false, d.timedOut()
 	}
+	if d.isCancelledRun() {
+		return d.handleCancelledRun(id)
+	}
 	d.gateway.connections.CloseIdle(id)
 	d.log("Answer lost.", id, err)
 	return d.handleLostRun(id, "answer lost", OutcomeConnectionLost)
 }
 
+// isCancelledRun reports whether the current run was cancelled because the request is
+// quarantined.
+func (d *dispatcher) isCancelledRun() bool {
+	var quarantined *QuarantinedRunError
+	return errors.As(context.Cause(d.runCtx), &quarantined)
+}
+
+// handleCancelledRun refuses the request of a run that was cancelled. It says nothing of the
+// upstream.
+func (d *dispatcher) handleCancelledRun(id string) (bool, *refusal) {
+	d.log("Run cancelled.", id, context.Cause(d.runCtx))
+	if refused := d.checkQuarantine(); refused != nil {
+		return false, refused
+	}
+	return false, &refusal{status: http.StatusBadGateway, reason: "request was quarantined"}
+}
+
 // handleNotRun records that an upstream stated that it did not run the request.
 func (d *dispatcher) handleNotRun(id string, response *upstream.Response) (bool, *refusal) {
 	response.RecordRefused()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -70,10 +72,25 @@
 	// decided are the quarantines of the coordinator, suspected the keys that it asks about.
 	decided   map[quarantine.Key]time.Duration // end of the quarantine
 	suspected map[quarantine.Key]bool
+	watched   map[*watchedRun]struct{}
 	epoch     int64 // of the coordinator that replied last
 	informed  int64 // epoch of the coordinator that knows this host's quarantines
 }
 
+// watchedRun is a run whose upstream has not begun to answer: it is cancelled if the request
+// is quarantined meanwhile.
+type watchedRun struct {
+	keys   quarantineKeys
+	cancel context.CancelCauseFunc
+}
+
+// QuarantinedRunError is the cause of the cancellation of a run that would have crashed its
+// upstream.
+type QuarantinedRunError struct{}
+
+// Error implements error.
+func (e *QuarantinedRunError) Error() string { return "cancelled: the request is quarantined" }
+
 // reportedRun is a lost run with the epoch of the coordinator that knows of it.
 type reportedRun struct {
 	quarantine.LostRun
@@ -93,6 +110,7 @@
 	return &requestQuarantine{
 		now: clock.SinceBoot, own: quarantine.NewTracker(),
 		decided: map[quarantine.Key]time.Duration{}, suspected: map[quarantine.Key]bool{}, epoch: noEpoch, informed: noEpoch,
+		watched: map[*watchedRun]struct{}{},
 	}
 }
 
@@ -205,11 +223,15 @@
 	if report.epoch == reply.Epoch {
 		q.confirm(report)
 	}
+	known := maps.Clone(q.decided)
 	if q.informed == reply.Epoch {
 		clear(q.decided)
 	}
 	for _, decided := range reply.Quarantines {
 		q.decided[decided.Key] = now + time.Duration(decided.RemainingMS)*time.Millisecond
+		if known[decided.Key] <= now {
+			q.cancelRuns(decided.Key)
+		}
 	}
 	for _, key := range reply.Suspected {
 		unknown = unknown || !q.suspected[key]
@@ -221,6 +243,28 @@
 	return unknown
 }
 
+// watch cancels a run if its request is quarantined before the returned function is called.
+func (q *requestQuarantine) watch(keys quarantineKeys, cancel context.CancelCauseFunc) (stop func()) {
+	run := &watchedRun{keys: keys, cancel: cancel}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.watched[run] = struct{}{}
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.watched, run)
+	}
+}
+
+// cancelRuns cancels the watched runs of requests with a key.
+func (q *requestQuarantine) cancelRuns(key quarantine.Key) {
+	for run := range q.watched {
+		if run.keys.request == key || slices.Contains(run.keys.segments, key) {
+			run.cancel(&QuarantinedRunError{})
+		}
+	}
+}
+
 // confirm records that the coordinator knows of a report.
 func (q *requestQuarantine) confirm(report quarantineReport) {
 	q.informed = report.epoch
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,6 +37,7 @@
 // forwardBuffered reads the complete response before it forwards it, so that the
 // request can be sent to another upstream if the response is incomplete.
 func (d *dispatcher) forwardBuffered(id string, response *upstream.Response) (bool, *refusal) {
+	d.stopWatch()
 	body := responseBuffer{budget: d.gateway.buffers, limit: maxBufferedResponseBytes}
 	defer body.free()
 	if err := body.readAll(response); err != nil {
@@ -162,6 +163,7 @@
 	switch {
 	case d.outputAt.IsZero():
 		d.outputAt = now
+		d.stopWatch()
 	case !d.survived && now.Sub(d.outputAt) >= answeredAfter:
 		d.survived = true
 		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
@@ -186,6 +188,9 @@
 	if d.ctx.Err() != nil {
 		return false, d.timedOut()
 	}
+	if d.isCancelledRun() {
+		return d.handleCancelledRun(id)
+	}
 	d.log("Stream broken off.", id, err)
 	outcome := OutcomeFailed
 	var incomplete *upstream.IncompleteResponseError
--- a/tests/gateway/crashing_segment_test.go
+++ b/tests/gateway/crashing_segment_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -97,7 +99,7 @@
 
 func (c *crashingSegment) send(id string, i int, prompt string) response {
 	path := fmt.Sprintf("/chat/%s", id)
-	return c.fleet.sendModelRequest(i%len(c.fleet.hosts), path, id, "m1", "Prompt-Prefix", prompt)
+	return c.fleet.sendModelRequest(i%len(c.fleet.hosts), path, id, "m1", "Prompt-Prefix", prompt, "Deadline-Ms", "4000")
 }
 
 // arrivals returns how many requests with the segment "bad" reached an engine after a
@@ -145,3 +147,40 @@
 		t.Errorf("%d of %d sound requests served", served, sent)
 	}
 }
+
+// Guards against the crashes of engines that hold, when a segment is quarantined, requests
+// which they have not begun to answer.
+func TestWaitingRunsOfAQuarantinedSegmentAreCancelled(t *testing.T) {
+	c := &crashingSegment{fleet: newTestFleet(t, 2)}
+	slow := c.fleet.newRawWorker("llm", func(conn net.Conn, _ *http.Request) { untilClosed(conn) })
+	const held, later = 3, 20
+	statuses := make(chan int, held+later)
+	send := func(i int) {
+		statuses <- c.send(fmt.Sprintf("bad-%d", i), i, fmt.Sprintf("first:50,bad:20,own%d:10", i)).status
+	}
+	for i := range held {
+		go send(i)
+	}
+	c.fleet.waitFor("requests at the slow engine", func() bool { return slow.atWork() == held })
+	for i := range 4 {
+		engine := platformtest.NewWorker(fmt.Sprintf("engine-%d", 10+i), "llm", "m1")
+		t.Cleanup(engine.Close)
+		engine.SetFaults(platformtest.WorkerFaults{CrashSegment: "bad"})
+		c.addEngine(engine)
+	}
+	c.fleet.waitFor("engines known", func() bool {
+		return c.fleet.hosts[0].State().Upstreams == 7 && c.fleet.hosts[1].State().Upstreams == 7
+	})
+	for i := range later {
+		go send(held + i)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for range cap(statuses) {
+		if status := <-statuses; status != http.StatusBadGateway && status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want that of a crash, a cancellation or a refusal", status)
+		}
+	}
+	if atWork := slow.atWork(); atWork != 0 {
+		t.Errorf("%d requests are still at the slow engine", atWork)
+	}
+}
