--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -256,7 +256,19 @@
 // send sends a request. Headers are given as alternating names and values.
 func (f *testFleet) send(host int, method, path, id, body string, headers ...string) response {
 	f.t.Helper()
-	request, err := http.NewRequest(method, "http://"+f.hosts[host].settings.Listen+path, strings.NewReader(body))
+	return f.sendAt(f.hosts[host].settings.Listen, method, path, id, body, headers...)
+}
+
+// sendTo sends a request for model m1 to the host at an address.
+func (f *testFleet) sendTo(address, path, id string, headers ...string) response {
+	f.t.Helper()
+	headers = append([]string{"Model", "m1", "Token-Count", "100,20"}, headers...)
+	return f.sendAt(address, http.MethodPost, path, id, "prompt", headers...)
+}
+
+func (f *testFleet) sendAt(address, method, path, id, body string, headers ...string) response {
+	f.t.Helper()
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/tests/gateway/leaving_soak_test.go
+++ b/tests/gateway/leaving_soak_test.go
@@ -14,8 +14,8 @@
 )
 
 var (
-	soakSeed  = flag.Uint64("soak-seed", 1, "first seed of TestLeavingCallersSoak")
-	soakSeeds = flag.Int("soak-seeds", 2, "number of seeds of TestLeavingCallersSoak")
+	soakSeed  = flag.Uint64("soak-seed", 1, "first seed of the soaks")
+	soakSeeds = flag.Int("soak-seeds", 2, "number of seeds of each soak")
 )
 
 const (
