A stopped host gives its shares of the allowances back

What callers saw: 429 within their workspace's rate, for up to 16 s after hosts had been replaced. Cause: the ledger reserves the share of a silent host until it is no longer valid, also of one that has ended and spends nothing. Change: the last exchange of a host says that it has stopped. Test: TestStoppedHostGivesItsShareBack, failed before. The state dump has the number of hosts with shares, and the quarantines.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -103,13 +103,18 @@
 func (l *Ledger) Expire(now time.Duration) {
 	for host, at := range l.lastExchange {
 		if now-at > ShareValidity+ContactTimeout {
-			delete(l.lastExchange, host)
-			delete(l.silent, host)
-			delete(l.shareReserved, host)
+			l.Remove(host)
 		}
 	}
 }
 
+// Remove drops a host that will not spend from its local share any more.
+func (l *Ledger) Remove(host string) {
+	delete(l.lastExchange, host)
+	delete(l.silent, host)
+	delete(l.shareReserved, host)
+}
+
 // reserveSilentShares subtracts the shares of hosts that fell silent from the buckets,
 // starting at their last exchange: those hosts credit themselves for that time.
 func (l *Ledger) reserveSilentShares(now time.Duration) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -135,6 +135,10 @@
 	config := c.fleetState.Config()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if request.Departed {
+		c.ledger.Remove(request.Host)
+		return &ExchangeReply{Holder: true, Epoch: epoch}
+	}
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -83,6 +83,8 @@
 	Paused []string `json:"paused,omitempty"`
 	// Tables are the revisions of the host's table replicas, by table.
 	Tables map[string]int64 `json:"tables,omitempty"`
+	// Departed reports that the host has stopped: it spends nothing any more.
+	Departed bool `json:"departed,omitempty"`
 }
 
 // Incarnation identifies one start of an upstream.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,9 @@
 	// relayConfirmations divides the key confirmation period: a relayed table whose
 	// last confirmation is older than one part does not count as confirmed.
 	relayConfirmations = 3
+	// departTimeout bounds the last exchange of a host that stops; the shutdown timeout may
+	// be over soon.
+	departTimeout = 150 * time.Millisecond
 	// adapterCallTimeout bounds the call to load an adapter.
 	adapterCallTimeout = 900 * time.Millisecond
 )
@@ -162,6 +165,17 @@
 	return nil
 }
 
+// depart tells the coordinator that this host has stopped, so that its shares of the
+// allowances are not withheld until they are no longer valid.
+func (e *exchanger) depart(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
+	request := &coordinator.ExchangeRequest{Host: e.settings.Host, DataCenter: e.settings.DataCenter, Address: e.settings.PeerListen, Departed: true}
+	if _, err := e.call(ctx, request); err != nil {
+		e.log.Info("Coordinator not told of the stop.", "coordinator", e.elector.Coordinator().Holder, "error", err.Error())
+	}
+}
+
 // applyTables applies the table updates that the coordinator relays.
 func (e *exchanger) applyTables(reply *coordinator.ExchangeReply, requestedAt, now time.Duration) {
 	if e.elector.Held() {
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -56,6 +56,10 @@
 	ViewEpoch          int64        `json:"view_epoch"`
 	ViewVersion        int64        `json:"view_version"`
 	Upstreams          int          `json:"upstreams"`
+	// Hosts is the number of hosts with shares of the allowances, of the last exchange.
+	Hosts int64 `json:"hosts"`
+	// Quarantines are the requests and prompt segments that this host refuses.
+	Quarantines []QuarantineDump `json:"quarantines"`
 	// Statements are what upstreams have said of themselves.
 	Statements []statement.Dump `json:"statements"`
 }
@@ -67,6 +71,7 @@
 		Host: g.settings.Host, Ready: g.Ready(), ConfigVersion: g.config.version(), ConfigAgeMS: g.config.age().Milliseconds(),
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
+		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
 		Statements: g.registry.statements.Dump(clock.SinceBoot()),
 	}
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -281,3 +282,22 @@
 func runID(requestID string, run int) uint64 {
 	return xxhash.Sum64String(requestID + "\x00" + strconv.Itoa(run))
 }
+
+// QuarantineDump is a quarantine in the state dump.
+type QuarantineDump struct {
+	Key         string `json:"key"` // hexadecimal, as in logs
+	RemainingMS int64  `json:"remaining_ms"`
+}
+
+// dump returns the quarantines that the coordinator has decided.
+func (q *requestQuarantine) dump() []QuarantineDump {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	dump := []QuarantineDump{}
+	for key, until := range q.decided {
+		dump = append(dump, QuarantineDump{Key: strconv.FormatUint(uint64(key), 16), RemainingMS: (until - now).Milliseconds()})
+	}
+	slices.SortFunc(dump, func(a, b QuarantineDump) int { return strings.Compare(a.Key, b.Key) })
+	return dump
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -125,6 +125,7 @@
 		_ = l.metrics.Close() // the process ends
 	}
 	group.Wait()
+	g.exchanger.depart(context.Background())
 	g.log.Info("Stopped.", "requests", g.inFlight.Load(), "error", errorText(err))
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/tests/gateway/stop_test.go
+++ b/tests/gateway/stop_test.go
@@ -160,3 +160,17 @@
 		t.Errorf("request whose body has not arrived: status %d, want one that says that it did not run", status)
 	}
 }
+
+// Guards against refusing requests within their workspace's rate after a planned stop: the
+// share of a stopped host was withheld for 16 s.
+func TestStoppedHostGivesItsShareBack(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.waitFor("shares of three hosts", func() bool { return f.hosts[0].State().Hosts == 3 })
+	for _, stopped := range f.hosts[1:] {
+		stopped.stop()
+	}
+	for _, stopped := range f.hosts[1:] {
+		stopped.done <- <-stopped.done // the fleet's cleanup waits for it, too
+	}
+	f.waitFor("share of one host", func() bool { return f.hosts[0].State().Hosts == 1 })
+}
