Entry hosts: a unary answer that ends with its connection must be whole

What callers saw: a 200 with an empty or short object, framed as whole, when an engine without a length and chunks stopped in its answer. Cause: the end of the connection was taken for the end of the body. Change: such a body must be a whole JSON value, else the answer counts as broken off. TestUnaryAnswerThatEndsWithItsConnection failed before (2 of 4 bodies). TestResponseCutInItsHead (plain services, every byte of a head) passed before.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -100,10 +101,18 @@
 	if len(body) > maxUnaryBytes {
 		return nil, &ProtocolError{Detail: "response too large"}
 	}
+	if s.endsWithConnection() && !json.Valid(body) {
+		return nil, io.ErrUnexpectedEOF
+	}
 	s.complete, s.atEOF = true, true
 	return body, nil
 }
 
+// endsWithConnection reports whether the response does not state where its body ends.
+func (s *Stream) endsWithConnection() bool {
+	return s.response.ContentLength < 0 && len(s.response.TransferEncoding) == 0
+}
+
 // readEvent returns the data of the next event, or io.EOF at [DONE].
 func (s *Stream) readEvent() ([]byte, error) {
 	for {
