Entry hosts: hold a crash only against runs that it can have ended

What callers saw: a request that crashes engines was let through again (TestCrashingRequestIsQuarantined, once in 42 runs). Cause: when a host noticed an engine's restart it held the crash against all runs there, also against those that had begun at the new boot; a harmless request then had crashes enough to explain the isolated one. Change: a crash that is noticed a second time (refused connection, then restart) counts only against runs whose connection was lost, and one that is held against a run in progress is cleared when the engine goes on with it; the run stays tracked. Tests: TestCrashNoticedTwiceIsNotHeldAgainstLaterRuns and TestCrashIsClearedForARunThatProgresses, both failed before.

--- a/internal/inference/attempt.go
+++ b/internal/inference/attempt.go
@@ -35,7 +35,7 @@
 }
 
 // callEngine performs one attempt and relays its response.
-func (x *execution) callEngine(ctx context.Context, address string) error {
+func (x *execution) callEngine(ctx context.Context, address string, run *retry.Run) error {
 	timeout := x.attemptTimeout()
 	if timeout < minTimeout {
 		return &InsufficientTimeError{Remaining: timeout}
@@ -57,7 +57,7 @@
 	}
 	defer stream.Close()
 	x.options.Replicas.ConfirmLoaded(x.request.Model, x.request.Adapter, address)
-	return watch.resolveError(x.relay(stream, watch))
+	return watch.resolveError(x.relay(stream, watch, run))
 }
 
 // recordRefusal records that an engine refused because the weights are not loaded.
@@ -83,7 +83,7 @@
 
 // relay writes the engine's response to the sink and counts its tokens. An
 // error of the sink is returned as *CallerGoneError.
-func (x *execution) relay(stream *engine.Stream, watch *attemptWatch) error {
+func (x *execution) relay(stream *engine.Stream, watch *attemptWatch, run *retry.Run) error {
 	counter := tokenCounter{prompt: x.request.PromptTokens}
 	for {
 		data, err := stream.Next()
@@ -94,6 +94,7 @@
 			return err
 		}
 		watch.recordProgress()
+		run.Progressed(x.options.Clock.Now())
 		counter.add(data, stream.Unary())
 		x.usedTokens = counter.total()
 		if stream.Unary() {
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -266,7 +266,7 @@
 		if run.Isolated() {
 			x.options.Logger.Info("Suspect runs alone.", "request", x.request.ID, "fingerprint", x.fingerprint.String(), "upstream", address)
 		}
-		err := x.callEngine(ctx, address)
+		err := x.callEngine(ctx, address, run)
 		x.settleAttempt(address, err)
 		x.finishRun(run, address, err)
 		if err == nil {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -185,6 +185,42 @@
 	}
 }
 
+// Guards against holding a crash against a run that began after the upstream had started
+// again: the host notices the crash a second time, by the restart, when the run is in
+// progress.
+func TestCrashNoticedTwiceIsNotHeldAgainstLaterRuns(t *testing.T) {
+	s, poison, harmless := newSuspects(), fingerprint("poison"), fingerprint("harmless")
+	run(t, s, harmless, "u9").ConnectionLost(start)
+	s.Crashed(start, "u9", "boot1")
+	run(t, s, poison, "u1").ConnectionLost(start)
+	s.Crashed(start, "u1", "boot1") // a connection was refused
+	run(t, s, harmless, "u1")       // at the new boot
+	s.Crashed(start, "u1", "boot1") // the restart was noticed
+	wantQuarantined(t, s, harmless, false, "it began after the crash")
+	run(t, s, poison, "u2").ConnectionLost(start)
+	if !s.Crashed(start, "u2", "boot1") {
+		t.Error("the poison request is not quarantined")
+	}
+}
+
+// Guards against holding a crash against a run that the upstream goes on with: it began at
+// the new boot, before the host noticed the restart (TestCrashingRequestIsQuarantined, once
+// in 42 runs).
+func TestCrashIsClearedForARunThatProgresses(t *testing.T) {
+	s, harmless := newSuspects(), fingerprint("harmless")
+	going := run(t, s, harmless, "u1")
+	s.Crashed(start, "u1", "boot1")
+	going.Progressed(start)
+	if s.Suspected(start, harmless) {
+		t.Error("the crash is held against a run that goes on")
+	}
+	going.ConnectionLost(start)
+	s.Crashed(start, "u1", "boot2")
+	if !s.Suspected(start, harmless) {
+		t.Error("a later crash is not recorded against the run")
+	}
+}
+
 // Guards against memory use and heartbeats that grow without bound with the number
 // of crashes.
 func TestSuspectsAreBounded(t *testing.T) {
--- a/internal/retry/run.go
+++ b/internal/retry/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,10 @@
 	upstream    string
 	isolated    bool
 	begun       bool // see Begin; guarded by suspects.mu
+	// held is the crash that was recorded against the run although its connection had not
+	// been lost; guarded by suspects.mu. mayBeCleared reports that there is one.
+	held         Crash
+	mayBeCleared atomic.Bool
 }
 
 // Completed ends a run whose answer was complete. It clears all crashes recorded
@@ -31,6 +36,24 @@
 	}
 }
 
+// Progressed records that the upstream goes on with a run. A crash that was recorded against
+// it is cleared: the run began after the upstream had started again.
+func (r *Run) Progressed(now time.Time) {
+	if !r.mayBeCleared.Swap(false) {
+		return
+	}
+	s := r.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entry := s.lookup(now, r.fingerprint); entry != nil {
+		if held := entry.findRecord(r.held); held != nil {
+			held.cleared, held.changedAt = true, now
+		}
+	}
+	s.addRun(r)
+	s.notify()
+}
+
 // Ended ends a run that neither completed nor lost its connection, for example
 // because the caller disconnected or the upstream refused the request. It leaves
 // the crash records unchanged.
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -49,6 +49,7 @@
 	// runSequence numbers the exported lists of isolated runs.
 	runSequence uint64
 	lostRuns    map[*Run]time.Time // time of the loss; no crash reported yet
+	lastCrashes map[string]string  // boot ID of the last crash, by upstream
 	changed     chan struct{}      // nil while nothing waits for a change
 }
 
@@ -59,7 +60,7 @@
 		runs:     map[string]map[*Run]struct{}{},
 		isolated: map[Fingerprint]*Run{},
 		peerRuns: map[string]peerRuns{},
-		lostRuns: map[*Run]time.Time{},
+		lostRuns: map[*Run]time.Time{}, lastCrashes: map[string]string{},
 	}
 	s.metrics = newSuspectMetrics(registerer, s.count)
 	return s
@@ -302,15 +303,27 @@
 }
 
 // Crashed records a crash of an upstream against every request running there.
-// Boot is the boot ID that ended. It reports whether a request running there is now
-// quarantined, in which case the caller should notify peers without delay.
+// Boot is the boot ID that ended. A host may notice a crash twice, by a refused connection
+// and by the restart; the second time the runs whose connection was not lost have begun
+// since, and nothing is recorded against them. Crashed reports whether a request running
+// there is now quarantined, in which case the caller should notify peers without delay.
 func (s *Suspects) Crashed(now time.Time, upstream, boot string) (quarantine bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLostRuns(now)
 	crash := Crash{Upstream: upstream, Boot: boot}
+	again := s.lastCrashes[upstream] == boot
+	s.recordLastCrash(crash)
 	for run := range s.runs[upstream] {
+		_, lost := s.lostRuns[run]
+		if again && !lost {
+			continue
+		}
 		s.removeRun(run)
+		if !lost {
+			run.held = crash
+			run.mayBeCleared.Store(true)
+		}
 		s.addCrash(now, run.fingerprint, record{
 			crash: crash, isolated: run.isolated, changedAt: now, expires: now.Add(SuspicionTTL),
 		})
@@ -322,6 +335,17 @@
 	return quarantine
 }
 
+// recordLastCrash remembers the crash of an upstream. At maxSuspects it forgets another one.
+func (s *Suspects) recordLastCrash(crash Crash) {
+	if _, known := s.lastCrashes[crash.Upstream]; !known && len(s.lastCrashes) >= maxSuspects {
+		for other := range s.lastCrashes {
+			delete(s.lastCrashes, other)
+			break
+		}
+	}
+	s.lastCrashes[crash.Upstream] = crash.Boot
+}
+
 // addCrash adds a crash record, or merges it into the record of the same crash.
 func (s *Suspects) addCrash(now time.Time, f Fingerprint, r record) {
 	entry := s.lookup(now, f)
