--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,8 +44,6 @@
 	// departTimeout bounds the last exchange of a host that stops; the shutdown timeout may
 	// be over soon.
 	departTimeout = 150 * time.Millisecond
-	// adapterCallTimeout bounds the call to load an adapter.
-	adapterCallTimeout = 900 * time.Millisecond
 )
 
 // exchanger exchanges state with the coordinator on behalf of this host, and serves
@@ -261,73 +258,6 @@
 // Error implements error.
 func (e *NoCoordinatorError) Error() string { return "no coordinator; last host called: " + e.Host }
 
-// adapterCallGroup merges concurrent calls for the same adapter into one.
-type adapterCallGroup struct {
-	mu      sync.Mutex
-	pending map[adapterKey]*pendingAdapterCall
-}
-
-type adapterKey struct {
-	coordinator.ModelKey
-	adapter string
-}
-
-type pendingAdapterCall struct {
-	done  chan struct{}
-	reply *coordinator.AdapterReply
-	err   error
-}
-
-// loadAdapter asks the coordinator to load an adapter, sharing the call with other
-// requests for the same adapter.
-func (e *exchanger) loadAdapter(ctx context.Context, key coordinator.ModelKey, adapter string) (*coordinator.AdapterReply, error) {
-	id := adapterKey{key, adapter}
-	e.adapterCalls.mu.Lock()
-	if e.adapterCalls.pending == nil {
-		e.adapterCalls.pending = map[adapterKey]*pendingAdapterCall{}
-	}
-	pending := e.adapterCalls.pending[id]
-	if pending == nil {
-		pending = &pendingAdapterCall{done: make(chan struct{})}
-		e.adapterCalls.pending[id] = pending
-		go e.callAdapter(id, pending)
-	}
-	e.adapterCalls.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-pending.done:
-		return pending.reply, pending.err
-	}
-}
-
-func (e *exchanger) callAdapter(id adapterKey, pending *pendingAdapterCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), adapterCallTimeout)
-	defer cancel()
-	request := &coordinator.AdapterRequest{Host: e.settings.Host, ModelKey: id.ModelKey, Adapter: id.adapter}
-	pending.err = confine.Call("loading an adapter", func() (err error) {
-		pending.reply, err = e.adapterCall(ctx, request)
-		return err
-	})
-	if pending.err == nil && pending.reply.Upstream != "" {
-		clock.Sleep(ctx, time.Duration(pending.reply.ReadyInMS)*time.Millisecond)
-		e.registry.RecordAdapter(pending.reply.Upstream, id.Model, id.adapter)
-	}
-	e.adapterCalls.mu.Lock()
-	delete(e.adapterCalls.pending, id)
-	e.adapterCalls.mu.Unlock()
-	close(pending.done)
-}
-
-// adapterCall asks the coordinator, which may be this host.
-func (e *exchanger) adapterCall(ctx context.Context, request *coordinator.AdapterRequest) (*coordinator.AdapterReply, error) {
-	record := e.elector.Coordinator()
-	if record.Holder == e.settings.Host {
-		return e.Adapter(ctx, request), nil
-	}
-	return e.client.Adapter(ctx, record.Address, request)
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/arbutusbank/arbutusbank/internal/clock"
-	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
@@ -28,38 +24,6 @@
 	noEpoch = -1
 )
 
-// quarantineKeys identify what a request may have in common with others that crash
-// upstreams.
-type quarantineKeys struct {
-	request  quarantine.Key
-	segments []quarantine.Key // the shared segments of the prompt, in order
-}
-
-// newQuarantineKeys computes the keys of a request. Repetitions of a request have the same
-// method, host, target, key and body.
-func newQuarantineKeys(in *inbound) quarantineKeys {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range []string{in.httpRequest.Method, in.httpRequest.Host, in.httpRequest.RequestURI, in.request.Key} {
-		_, _ = digest.WriteString(part) // xxhash never fails
-		_, _ = digest.Write([]byte{0})  // separates the parts
-	}
-	_, _ = digest.Write(in.body)
-	keys := quarantineKeys{request: quarantine.Key(digest.Sum64())}
-	for _, id := range in.request.SharedSegments() {
-		keys.segments = append(keys.segments, segmentKey(id))
-	}
-	return keys
-}
-
-// segmentKey returns the key of a prompt segment, which is the same on all hosts.
-func segmentKey(id string) quarantine.Key {
-	return quarantine.Key(xxhash.Sum64String("segment\x00" + id))
-}
-
-// all returns the keys of the request and of its segments.
-func (k quarantineKeys) all() []quarantine.Key { return append(slices.Clone(k.segments), k.request) }
-
 // requestQuarantine refuses requests that crash upstreams. It reports the runs that were
 // lost at this host to the coordinator, which decides for all hosts; a host without a
 // coordinator decides from its own lost runs. It is safe for concurrent use.
@@ -92,21 +56,6 @@
 // Error implements error.
 func (e *QuarantinedRunError) Error() string { return "cancelled: the request is quarantined" }
 
-// reportedRun is a lost run with the epoch of the coordinator that knows of it.
-type reportedRun struct {
-	quarantine.LostRun
-	at       time.Duration
-	informed int64
-}
-
-// quarantineReport is what an exchange reports.
-type quarantineReport struct {
-	epoch       int64 // of the coordinator for which the report is complete
-	lost        []coordinator.LostRun
-	answered    []coordinator.Answered
-	quarantines []coordinator.Quarantine
-}
-
 func newRequestQuarantine() *requestQuarantine {
 	return &requestQuarantine{
 		now: clock.SinceBoot, own: quarantine.NewTracker(),
@@ -183,67 +132,6 @@
 	return slices.ContainsFunc(q.own.Suspected(now, now), func(key quarantine.Key) bool { return slices.Contains(all, key) })
 }
 
-// report returns what the coordinator that replied last does not know yet.
-func (q *requestQuarantine) report() quarantineReport {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.now()
-	q.lost = slices.DeleteFunc(q.lost, func(run reportedRun) bool { return now-run.at > lostRunRetention })
-	report := quarantineReport{epoch: q.epoch}
-	for _, run := range q.lost {
-		if run.informed != q.epoch {
-			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
-		}
-	}
-	for key, until := range q.decided {
-		report.addAnswer(q, now, key)
-		if q.informed != q.epoch && until > now {
-			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: (until - now).Milliseconds()})
-		}
-	}
-	for key := range q.suspected {
-		report.addAnswer(q, now, key)
-	}
-	return report
-}
-
-func (r *quarantineReport) addAnswer(q *requestQuarantine, now time.Duration, key quarantine.Key) {
-	if at, ok := q.answers.At(key); ok {
-		r.answered = append(r.answered, coordinator.Answered{Key: key, AgeMS: (now - at).Milliseconds()})
-	}
-}
-
-// apply applies the reply to a report. The quarantines of a coordinator that does not know
-// those of this host yet do not replace them. unknown reports whether the reply names
-// suspected keys that the one before did not.
-func (q *requestQuarantine) apply(report quarantineReport, reply *coordinator.ExchangeReply) (unknown bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.now()
-	q.epoch = reply.Epoch
-	if report.epoch == reply.Epoch {
-		q.confirm(report)
-	}
-	known := maps.Clone(q.decided)
-	if q.informed == reply.Epoch {
-		clear(q.decided)
-	}
-	for _, decided := range reply.Quarantines {
-		q.decided[decided.Key] = now + time.Duration(decided.RemainingMS)*time.Millisecond
-		if known[decided.Key] <= now {
-			q.cancelRuns(decided.Key)
-		}
-	}
-	for _, key := range reply.Suspected {
-		unknown = unknown || !q.suspected[key]
-	}
-	clear(q.suspected)
-	for _, key := range reply.Suspected {
-		q.suspected[key] = true
-	}
-	return unknown
-}
-
 // watch cancels a run if its request is quarantined before the returned function is called.
 func (q *requestQuarantine) watch(keys quarantineKeys, cancel context.CancelCauseFunc) (stop func()) {
 	run := &watchedRun{keys: keys, cancel: cancel}
@@ -266,23 +154,6 @@
 	}
 }
 
-// confirm records that the coordinator knows of a report.
-func (q *requestQuarantine) confirm(report quarantineReport) {
-	q.informed = report.epoch
-	for _, sent := range report.lost {
-		for i := range q.lost {
-			if q.lost[i].ID == sent.ID {
-				q.lost[i].informed = report.epoch
-			}
-		}
-	}
-}
-
-// runID identifies a run of a request over all hosts.
-func runID(requestID string, run int) uint64 {
-	return xxhash.Sum64String(requestID + "\x00" + strconv.Itoa(run))
-}
-
 // QuarantineDump is a quarantine in the state dump.
 type QuarantineDump struct {
 	Key         string `json:"key"` // hexadecimal, as in logs
--- /dev/null
+++ b/internal/gateway/quarantine_report.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
+)
+
+// reportedRun is a lost run with the epoch of the coordinator that knows of it.
+type reportedRun struct {
+	quarantine.LostRun
+	at       time.Duration
+	informed int64
+}
+
+// quarantineReport is what an exchange reports.
+type quarantineReport struct {
+	epoch       int64 // of the coordinator for which the report is complete
+	lost        []coordinator.LostRun
+	answered    []coordinator.Answered
+	quarantines []coordinator.Quarantine
+}
+
+// report returns what the coordinator that replied last does not know yet.
+func (q *requestQuarantine) report() quarantineReport {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	q.lost = slices.DeleteFunc(q.lost, func(run reportedRun) bool { return now-run.at > lostRunRetention })
+	report := quarantineReport{epoch: q.epoch}
+	for _, run := range q.lost {
+		if run.informed != q.epoch {
+			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
+		}
+	}
+	for key, until := range q.decided {
+		report.addAnswer(q, now, key)
+		if q.informed != q.epoch && until > now {
+			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: (until - now).Milliseconds()})
+		}
+	}
+	for key := range q.suspected {
+		report.addAnswer(q, now, key)
+	}
+	return report
+}
+
+func (r *quarantineReport) addAnswer(q *requestQuarantine, now time.Duration, key quarantine.Key) {
+	if at, ok := q.answers.At(key); ok {
+		r.answered = append(r.answered, coordinator.Answered{Key: key, AgeMS: (now - at).Milliseconds()})
+	}
+}
+
+// apply applies the reply to a report. The quarantines of a coordinator that does not know
+// those of this host yet do not replace them. unknown reports whether the reply names
+// suspected keys that the one before did not.
+func (q *requestQuarantine) apply(report quarantineReport, reply *coordinator.ExchangeReply) (unknown bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	q.epoch = reply.Epoch
+	if report.epoch == reply.Epoch {
+		q.confirm(report)
+	}
+	known := maps.Clone(q.decided)
+	if q.informed == reply.Epoch {
+		clear(q.decided)
+	}
+	for _, decided := range reply.Quarantines {
+		q.decided[decided.Key] = now + time.Duration(decided.RemainingMS)*time.Millisecond
+		if known[decided.Key] <= now {
+			q.cancelRuns(decided.Key)
+		}
+	}
+	for _, key := range reply.Suspected {
+		unknown = unknown || !q.suspected[key]
+	}
+	clear(q.suspected)
+	for _, key := range reply.Suspected {
+		q.suspected[key] = true
+	}
+	return unknown
+}
+
+// confirm records that the coordinator knows of a report.
+func (q *requestQuarantine) confirm(report quarantineReport) {
+	q.informed = report.epoch
+	for _, sent := range report.lost {
+		for i := range q.lost {
+			if q.lost[i].ID == sent.ID {
+				q.lost[i].informed = report.epoch
+			}
+		}
+	}
+}
