Metrics of lost runs and quarantines; a quarantine taken over keeps its length

A coordinator that hears of a quarantine again keeps what it knows of it. Test: TestAdoptedQuarantineEndsInTime.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -321,6 +321,7 @@
 // recordLostRun records a run that may have crashed its upstream.
 func (d *dispatcher) recordLostRun() {
 	d.logLostRun()
+	d.gateway.metrics.lostRuns.Inc()
 	run := quarantine.LostRun{
 		ID: runID(d.request.ID, d.runs), Upstream: d.upstream.ID, StartedMS: d.upstream.StartedMS, Request: d.keys.request,
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	sendsWithheld   prometheus.Counter
 
 	foreignResponses prometheus.Counter
+	lostRuns         prometheus.Counter
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -57,11 +58,15 @@
 		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gateway_foreign_responses_total", Help: "Responses of upstreams that belonged to another request and were skipped.",
 		}),
+		lostRuns: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_lost_runs_total", Help: "Runs that ended with the connection to their upstream, which may have crashed.",
+		}),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses,
+	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses, m.lostRuns,
+		gauge("gateway_quarantined", "Requests and prompt segments that are refused because they crash upstreams.", g.exchanger.quarantine.count),
 		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
 		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -160,6 +160,13 @@
 	RemainingMS int64  `json:"remaining_ms"`
 }
 
+// count returns the number of quarantines that the coordinator has decided.
+func (q *requestQuarantine) count() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return float64(len(q.decided))
+}
+
 // dump returns the quarantines that the coordinator has decided.
 func (q *requestQuarantine) dump() []QuarantineDump {
 	q.mu.Lock()
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -218,11 +218,12 @@
 
 // Adopt records a quarantine that another tracker has decided.
 func (t *Tracker) Adopt(q Quarantine) {
-	if h := t.holds[q.Key]; h != nil && h.until >= q.Until {
+	t.changed = true
+	if h := t.holds[q.Key]; h != nil {
+		h.until = max(h.until, q.Until)
 		return
 	}
 	t.hold(q.Key, &hold{until: q.Until, duration: initialQuarantine})
-	t.changed = true
 }
 
 func (t *Tracker) hold(key Key, h *hold) {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -203,6 +203,18 @@
 	s.expect(t, after+2*initialQuarantine+4*time.Second, "a crash after an answer")
 }
 
+// Guards against a quarantine that a new coordinator does not take over, or that it keeps
+// for longer than the one before had decided.
+func TestAdoptedQuarantineEndsInTime(t *testing.T) {
+	s := newScenario()
+	for _, host := range []time.Duration{0, 5 * time.Millisecond} { // two hosts report it
+		s.Adopt(Quarantine{Key: bad, Until: start + 20*time.Second + host})
+	}
+	s.expect(t, start, "taken over", bad)
+	s.expect(t, start+19*time.Second, "before its end", bad)
+	s.expect(t, start+21*time.Second, "after its end")
+}
+
 // Guards against unbounded memory when very many upstreams are lost.
 func TestTrackerIsBounded(t *testing.T) {
 	s := newScenario()
