Suspect no segment that was answered here; a cancelled dial says nothing of its upstream

What callers saw: for up to two exchanges after two engines had crashed at once, a sound request that was lost got no second upstream, since the coordinator suspects popular segments until the hosts have replied; the host looks at its own answers first now. And a run that was cancelled while it connected marked its upstream as unreachable. Test: TestSegmentAnsweredHereIsNotSuspected, failed before; the second has none of its own.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -231,11 +231,15 @@
 // handleSendError decides what follows a send without a response.
 func (d *dispatcher) handleSendError(id string, err error) (bool, *refusal) {
 	var unwanted *upstream.UnwantedError
-	if errors.As(err, &unwanted) {
+	var dial *upstream.DialError
+	notSent := errors.As(err, &unwanted) || errors.As(err, &dial)
+	if notSent && d.isCancelledRun() {
+		return d.handleCancelledRun(id)
+	}
+	if unwanted != nil {
 		return false, d.timedOut()
 	}
-	var dial *upstream.DialError
-	if errors.As(err, &dial) {
+	if dial != nil {
 		d.dials++
 		d.tried[id] = true
 		if d.ctx.Err() != nil {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -121,14 +121,13 @@
 func (q *requestQuarantine) isSuspected(keys quarantineKeys, coordinated bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	all := keys.all()
-	if slices.ContainsFunc(all, func(key quarantine.Key) bool { return q.suspected[key] }) {
+	now, all := q.now(), keys.all()
+	if slices.ContainsFunc(all, func(key quarantine.Key) bool { return q.suspected[key] && !q.answers.Lately(now, key) }) {
 		return true
 	}
 	if coordinated {
 		return false
 	}
-	now := q.now()
 	return slices.ContainsFunc(q.own.Suspected(now, now), func(key quarantine.Key) bool { return slices.Contains(all, key) })
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -88,3 +88,24 @@
 		t.Error("a quarantine is kept that the coordinator has lifted")
 	}
 }
+
+// Guards against giving a sound request no second upstream when two engines have crashed:
+// the coordinator suspects a segment that many requests share until the hosts have replied.
+func TestSegmentAnsweredHereIsNotSuspected(t *testing.T) {
+	now := time.Hour
+	q := quarantineAt(&now)
+	keys := quarantineKeys{request: 1, segments: []quarantine.Key{7}}
+	q.recordAnswer(keys)
+	now += time.Second
+	q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 1, Suspected: []quarantine.Key{7, 8}})
+	if q.isSuspected(keys, true) {
+		t.Error("a segment that was answered here a second ago is suspected")
+	}
+	if !q.isSuspected(quarantineKeys{request: 2, segments: []quarantine.Key{7, 8}}, true) {
+		t.Error("a segment that was not answered here is not suspected")
+	}
+	now += time.Minute
+	if !q.isSuspected(keys, true) {
+		t.Error("a segment that was answered long ago is not suspected")
+	}
+}
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// Lately reports whether a key was answered within answerWindow.
+func (a *Answers) Lately(now time.Duration, key Key) bool {
+	at, ok := a.At(key)
+	return ok && now-at <= answerWindow
+}
+
 // At returns when a key was answered last.
 func (a *Answers) At(key Key) (at time.Duration, ok bool) {
 	a.mu.Lock()
