Gateway: waits for a model outlive the coordinator

Cause: a host refuses a request that has waited for 700 ms without an estimate. Estimates come from the coordinator, so when it is lost all waiting requests are refused at once, though the next one takes over within 3.5 s and loads from disk take less than a second.

Change: a request waits on without an estimate until 4 s after the last response of a coordinator, and for 700 ms after the first one of the next, always within its own deadline and caller timeout.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,7 +64,10 @@
 
 	replicas     map[string]*table.Replica // by table name
 	wake         chan struct{}
-	reachedAt    atomic.Int64 // end of the last exchange, on the boot clock
+	reachedAt    atomic.Int64 // end of the last exchange, on the boot clock; 0: the coordinator is lost
+	lastResponse atomic.Int64 // likewise, kept when the coordinator is lost
+	contactSince atomic.Int64 // first response of the current coordinator, on the boot clock
+	epoch        atomic.Int64 // of the coordinator that responded last
 	relayedAt    atomic.Int64 // end of the last exchange that confirmed all replicas, on the boot clock
 	hostCount    atomic.Int64
 	adapterCalls adapterCallGroup
@@ -142,7 +145,7 @@
 		return &NoCoordinatorError{Host: e.elector.Coordinator().Holder}
 	}
 	now := clock.SinceBoot()
-	e.reachedAt.Store(int64(now))
+	e.recordResponse(now, reply.Epoch)
 	e.elector.Observe(reply.Revision, time.Duration(reply.ValidForMS)*time.Millisecond)
 	e.hostCount.Store(int64(reply.Hosts))
 	e.retryBudget.SetHosts(reply.Hosts)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -14,9 +14,6 @@
 	// minRunTime is the part of the caller timeout that is reserved for the run
 	// itself.
 	minRunTime = 250 * time.Millisecond
-	// maxUnestimatedWait bounds the wait for a model without an estimate of when it
-	// is ready.
-	maxUnestimatedWait = 700 * time.Millisecond
 	// maxAdapterCalls bounds the coordinator calls of a request to load an adapter.
 	maxAdapterCalls = 3
 	// adapterRetryDelay is the minimum delay between such calls; the coordinator may
@@ -190,7 +187,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready in time", retryAfter: max(shortRetryAfter, readyIn)}
 	case g.shutdown.tooLateToWait():
 		return shuttingDown()
-	case left <= 0, !known && now.Sub(d.startedAt) > maxUnestimatedWait:
+	case left <= 0, !known && d.waitedWithoutEstimate(now):
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetryAfter}
 	}
 	timer := time.NewTimer(busyExchangeInterval)
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -41,6 +41,7 @@
 	engine        *platformtest.Worker
 	ledgers       []*platformtest.Worker
 	configVersion int
+	models        int // number of models in the configuration
 	// gate holds back what the hosts read from callers.
 	gate *gate
 	// loopback is the loopback IP of this fleet.
@@ -97,7 +98,7 @@
 func newTestFleet(t *testing.T, hosts int) *testFleet {
 	t.Helper()
 	t.Parallel()
-	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}}
+	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}, models: 6}
 	t.Cleanup(f.store.Close)
 	f.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	f.ledgers = []*platformtest.Worker{
@@ -124,8 +125,10 @@
 			"service": service, "attempts": attempts, "public": false, "resumable": resumable, "gapTargetMs": 250,
 		}
 	}
+	patient := route("patient", "/patient/", "streaming", "llm", 1, false)
+	patient["timeoutMs"], patient["sloMs"], patient["public"] = 12000, 2500, true
 	models := []map[string]any{}
-	for i := 1; i <= 6; i++ {
+	for i := 1; i <= f.models; i++ {
 		models = append(models, map[string]any{
 			"name": fmt.Sprintf("m%d", i), "weightsMb": 30000, "loadS": 0.1, "adapters": 3, "adapterMb": 40, "warmS": 0.05, "diskS": 0.05,
 		})
@@ -135,6 +138,7 @@
 		"routes": []any{
 			route("chat", "/chat/", "streaming", "llm", 1, false),
 			route("review", "/review/", "streaming", "llm", 2, true),
+			patient,
 			route("withdraw", "/withdraw/", "unsafe", "ledger", 1, false),
 			route("lookup", "/lookup/", "safe", "ledger", 2, false),
 		},
