Coordinator: count on no engine whose report could not be read

What callers saw: with a data centre cut off, requests for models that only its engines had waited for 3 s and were refused.

Cause: a new coordinator reads the reports of all engines. For one that does not answer it kept what the engine's entry says: its models counted as ready until the entry expired, 3.6 s later. So nobody loaded them elsewhere, and hosts were told that they are ready now.

Change: an engine whose report could not be read so far is no replica, as one that several hosts cannot reach; estimates follow. The copies on such engines still count as copies: before, models whose copies were on an unreachable engine were fetched anew from the weight store.

Before: TestModelOnUnreadEngineIsLoadedElsewhere fails. After: passes. TestCopiesOnUnreachableEngineAreKept guards the second point; its field is new, so it did not run on the code before.

--- a/internal/coordinator/blocked_unload_test.go
+++ b/internal/coordinator/blocked_unload_test.go
@@ -18,6 +18,7 @@
 type fakeEngines struct {
 	engines    map[string]*fakeEngine
 	blockedFor time.Duration
+	silent     string // ID of an engine whose reports can't be read
 
 	mu      sync.Mutex
 	blocked bool // an unload was blocked
@@ -25,6 +26,10 @@
 
 // Report implements Engines.
 func (e *fakeEngines) Report(ctx context.Context, upstream *catalog.Upstream) (catalog.Holdings, error) {
+	if upstream.ID == e.silent {
+		<-ctx.Done()
+		return catalog.Holdings{}, &EngineError{Upstream: upstream.ID, Call: "report", Cause: ctx.Err()}
+	}
 	return e.engines[upstream.ID].Report(ctx, upstream)
 }
 
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -14,6 +14,7 @@
 	upstream       *catalog.Upstream
 	holdings       catalog.Holdings
 	reported       bool       // a report was read, so the order count is known
+	reportFailed   bool       // the last read of a report failed
 	reportInFlight bool       // a report is being read
 	suspected      bool       // the engine told a host that it lacks what the view lists
 	occupied       bool       // an action is in progress on this engine
@@ -125,6 +126,11 @@
 	return e.holdings.Holds(model)
 }
 
+// cutOff reports that the engine gets no orders and its models can't be counted on: several
+// hosts cannot reach it, or no report could be read so far, so that its content is only
+// known from its entry.
+func (e *engineState) cutOff() bool { return e.unreachable || !e.reported && e.reportFailed }
+
 func (e *engineState) view() EngineView {
 	view := EngineView{
 		Upstream: e.upstream.ID, StartedMS: e.upstream.StartedMS, Ready: map[string][]string{},
@@ -148,7 +154,7 @@
 // plannerView returns the engine as input for the planner.
 func (e *engineState) plannerView(now time.Duration, running map[string]int) *Engine {
 	engine := &Engine{
-		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Draining: e.upstream.Draining || e.unreachable,
+		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Draining: e.upstream.Draining, Unreachable: e.cutOff(),
 		Occupied: !e.settled() || e.occupied || e.paused || now < e.retryAt, Paused: e.paused, Holdings: e.holdings, Reserved: e.reserved(),
 		Running: running, LoadedAt: e.loadedAt,
 	}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -259,12 +259,13 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	holdings, err := c.engines.Report(ctx, upstream)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engine.reportFailed = err != nil
 	if err != nil {
 		c.log.V(1).Info("Cannot read engine report.", "upstream", upstream.ID, "error", err.Error())
 		return false
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if engine.reported && holdings.OrderSeq < engine.holdings.OrderSeq {
 		return false
 	}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -78,9 +78,11 @@
 	ID         string
 	DataCenter string
 	Draining   bool
-	Occupied   bool // an order is in progress or its outcome is unknown
-	Paused     bool // it told hosts to send nothing for some time, so it serves nothing
-	Holdings   catalog.Holdings
+	// Unreachable engines get no orders and serve nothing now, but their copies are not lost.
+	Unreachable bool
+	Occupied    bool // an order is in progress or its outcome is unknown
+	Paused      bool // it told hosts to send nothing for some time, so it serves nothing
+	Holdings    catalog.Holdings
 	// Reserved are models whose load is in progress or may still be executed.
 	Reserved []string
 	Running  map[string]int           // by model, over all hosts
@@ -253,7 +255,7 @@
 // evaluate returns the action that loads the needed model on the engine and its cost in
 // seconds. It returns false if the engine cannot take the model.
 func (p *planner) evaluate(engine *Engine, n need) (Action, float64, bool) {
-	if engine.Draining || engine.Occupied || p.assigned[engine.ID] || engine.Holdings.Holds(n.model) {
+	if engine.Draining || engine.Unreachable || engine.Occupied || p.assigned[engine.ID] || engine.Holdings.Holds(n.model) {
 		return Action{}, 0, false
 	}
 	source := p.source(engine, n.model)
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -21,6 +21,17 @@
 		if engine.Draining {
 			continue
 		}
+		for _, model := range engine.Holdings.OnDisk {
+			of(model).copies++
+		}
+		for _, model := range engine.Holdings.InMemory {
+			if !slices.Contains(engine.Holdings.OnDisk, model) {
+				of(model).copies++
+			}
+		}
+		if engine.Unreachable {
+			continue
+		}
 		loading := engine.Reserved
 		if engine.Loading != "" && !slices.Contains(loading, engine.Loading) {
 			loading = append(slices.Clone(loading), engine.Loading)
@@ -33,14 +44,6 @@
 				of(model).ready++
 			}
 		}
-		for _, model := range engine.Holdings.OnDisk {
-			of(model).copies++
-		}
-		for _, model := range engine.Holdings.InMemory {
-			if !slices.Contains(engine.Holdings.OnDisk, model) {
-				of(model).copies++
-			}
-		}
 	}
 	return index
 }
