Placement: loads from the weight store do not block loads from disk

Cause: an engine carries out one order at a time. A load from the weight store takes 6 s, one from disk 0.9 s.

Change: an engine takes a load from the store only if fewer seconds are waited in total than with its local loads first: requests that wait for its copies times the time of the load, against the requests that wait for the needed model times the time of the local loads. More requests turn the scale, so no model starves.

--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -117,9 +117,10 @@
 
 type planner struct {
 	PlanInput
-	index             map[string]*replicas // by model
-	assigned          map[string]bool      // engines that already have an action
-	activeStoreLoads  int                  // loads from the weight store in progress
+	index             map[string]*replicas   // by model
+	assigned          map[string]bool        // engines that already have an action
+	local             map[string]localDemand // by engine, as far as computed
+	activeStoreLoads  int                    // loads from the weight store in progress
 	startedStoreLoads int
 	actions           []Action
 }
@@ -128,13 +129,14 @@
 type need struct {
 	model    string
 	value    float64 // priority
+	waiting  int     // requests that wait for the model
 	reason   string
 	prefetch bool // no request waits for the model
 }
 
 // Plan returns the actions to start now, most valuable first.
 func Plan(input PlanInput) []Action {
-	p := &planner{PlanInput: input, assigned: map[string]bool{}, index: indexReplicas(input.Engines)}
+	p := &planner{PlanInput: input, assigned: map[string]bool{}, local: map[string]localDemand{}, index: indexReplicas(input.Engines)}
 	for _, engine := range input.Engines {
 		if engine.Loading != "" && engine.LoadingFromStore {
 			p.activeStoreLoads++
@@ -174,20 +176,26 @@
 	}
 	load := p.targetConcurrency()
 	unserved := max(0, demand.Rate-targetReplicaRate*float64(ready), float64(demand.Running)/load-float64(ready))
-	value := unservedWeight*unserved + waitingWeight*float64(demand.Waiting)
+	n := need{model: model, value: unservedWeight*unserved + waitingWeight*float64(demand.Waiting), waiting: demand.Waiting}
 	switch {
 	case ready == 0 && demand.Waiting > 0:
-		return need{model: model, value: value + demand.Oldest.Seconds(), reason: "waiting"}, true
+		n.value += demand.Oldest.Seconds()
+		n.reason = "waiting"
 	case ready == 0 && demand.Rate >= protectedReplicaRate:
-		return need{model: model, value: value, reason: "asked for"}, true
+		n.reason = "asked for"
 	case ready > 0 && unserved > 0:
-		return need{model: model, value: value, reason: "loaded"}, true
+		n.reason = "loaded"
 	case ready == 1 && demand.Rate >= secondReplicaRate:
-		return need{model: model, value: demand.Rate, reason: "spare"}, true
+		n.value = demand.Rate
+		n.reason = "spare"
 	case ready == 0 && copies == 0 && p.Prefetch:
-		return need{model: model, value: prefetchValue + demand.Rate/100, reason: "ahead", prefetch: true}, true
+		n.value = prefetchValue + demand.Rate/100
+		n.reason = "ahead"
+		n.prefetch = true
+	default:
+		return need{}, false
 	}
-	return need{}, false
+	return n, true
 }
 
 // targetConcurrency returns the number of concurrent requests that one replica should
@@ -247,11 +255,6 @@
 	p.actions = append(p.actions, *best)
 }
 
-// storeFull reports whether no further load from the weight store may start.
-func (p *planner) storeFull() bool {
-	return p.activeStoreLoads >= maxStoreLoads || p.startedStoreLoads >= p.StoreStarts
-}
-
 // evaluate returns the action that loads the needed model on the engine and its cost in
 // seconds. It returns false if the engine cannot take the model.
 func (p *planner) evaluate(engine *Engine, n need) (Action, float64, bool) {
@@ -259,7 +262,7 @@
 		return Action{}, 0, false
 	}
 	source := p.source(engine, n.model)
-	if source == FromStore && p.storeFull() {
+	if source == FromStore && (p.storeFull() || p.delaysLocalLoads(engine, n)) {
 		return Action{}, 0, false
 	}
 	victims, evictionCost, ok := p.chooseEvictions(engine, n)
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
+)
 
 // replicas counts the engines on which a model is ready, being loaded, or kept as a copy on
 // disk or in memory.
@@ -21,14 +25,9 @@
 		if engine.Draining {
 			continue
 		}
-		for _, model := range engine.Holdings.OnDisk {
+		for _, model := range copiesOf(engine.Holdings) {
 			of(model).copies++
 		}
-		for _, model := range engine.Holdings.InMemory {
-			if !slices.Contains(engine.Holdings.OnDisk, model) {
-				of(model).copies++
-			}
-		}
 		if engine.Unreachable {
 			continue
 		}
@@ -48,6 +47,20 @@
 	return index
 }
 
+// copiesOf returns the models of which an engine has copies on disk or in memory.
+func copiesOf(h catalog.Holdings) []string {
+	if len(h.InMemory) == 0 {
+		return h.OnDisk
+	}
+	copies := slices.Clone(h.OnDisk)
+	for _, model := range h.InMemory {
+		if !slices.Contains(h.OnDisk, model) {
+			copies = append(copies, model)
+		}
+	}
+	return copies
+}
+
 func (p *planner) replicas(model string) replicas {
 	if r := p.index[model]; r != nil {
 		return *r
