Entry hosts: quarantine messages that crash engines in requests that share them

Cause: an entry host blames the whole request (its fingerprint); what the requests share is not looked at.

Change: retry.Segments uses internal/quarantine, as gateway hosts do. The messages of a chat but the last are its segments, with keys of their workspace, so that no team can get another one's messages refused. A crash counts against the segments of runs that had not been answered for 0.5 s; three crashes without an answer quarantine the deepest one. There is no coordinator here: hosts tell each other of crashed runs, answers and quarantines in heartbeats and with their suspicions, and each decides on its own. A request with a suspected message gets no second engine. Refusals are `quarantined` with Retry-After; the state dump and the log name the segments.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -53,6 +53,21 @@
 }
 
 // Guards against accepting deadlines beyond the configured maximum.
+// Guards against messages that two requests share but that have different keys, because of
+// white space, and against taking the last message, which belongs to its request.
+func TestSharedMessages(t *testing.T) {
+	compact := sharedMessages([]byte(`[{"role":"system","content":"a b"},{"role":"user","content":"1"}]`))
+	spaced := sharedMessages([]byte(`[ {"role": "system", "content": "a b"} , {"role":"user","content":"2"}]`))
+	if len(compact) != 1 || len(spaced) != 1 || string(compact[0]) != string(spaced[0]) {
+		t.Errorf("shared %q and %q, want one equal message", compact, spaced)
+	}
+	for _, other := range []string{`[]`, `"text"`, `[{"role":"user"}]`, `{`} {
+		if shared := sharedMessages([]byte(other)); len(shared) != 0 {
+			t.Errorf("%s: shared %q, want none", other, shared)
+		}
+	}
+}
+
 func TestDeadline(t *testing.T) {
 	now := time.Now()
 	for header, want := range map[string]time.Duration{"": 30 * time.Second, "1500": 1500 * time.Millisecond, "99999999999999": 120 * time.Second} {
--- a/internal/caller/inference.go
+++ b/internal/caller/inference.go
@@ -69,6 +69,7 @@
 		ID: rs.id, Workspace: rs.identity.Workspace,
 		Model: parsed.model, Adapter: parsed.adapter,
 		Path: rs.r.URL.Path, Body: parsed.body, Prompt: parsed.prompt,
+		Segments:     segmentKeys(rs.identity.Workspace, parsed.shared),
 		PromptTokens: parsed.promptTokens(), MaxTokens: parsed.maxTokens, Stream: parsed.stream,
 		Priority: priorityOf(rs.r, rs.workspace()), Deadline: deadline,
 		Config: rs.snapshot, Record: rs.record,
--- a/internal/host/dump.go
+++ b/internal/host/dump.go
@@ -37,6 +37,7 @@
 	Routing       []routing.Dump          `json:"routing"`
 	Streams       []inference.StreamState `json:"streams"`
 	Suspects      []retry.SuspectDump     `json:"suspects"`
+	Segments      []retry.SegmentDump     `json:"quarantined_segments"`
 	Budgets       []retry.BudgetDump      `json:"retry_budgets"`
 	Peers         []peer.State            `json:"peers"`
 	Recent        []*explain.Record       `json:"recent"`
@@ -71,7 +72,7 @@
 		InFlight: h.callers.InFlight(), Quota: h.quota.Dump(), Queues: h.admission.Dump(),
 		Upstreams: view.all(), Engines: h.engineDumps(now), Loading: h.loading.State(),
 		Routing: h.tracker.Dump(), Streams: h.watcher.Streams(),
-		Suspects: h.suspects.Dump(now), Budgets: h.budgets.Dump(),
+		Suspects: h.suspects.Dump(now), Segments: h.suspects.Segments().Dump(now), Budgets: h.budgets.Dump(),
 		Peers: h.mesh.Peers(), Recent: h.explain.Recent(recentDecisions),
 	}
 }
--- a/internal/host/engines.go
+++ b/internal/host/engines.go
@@ -82,7 +82,7 @@
 func (h *Host) recordEngineCrash(address, boot string) {
 	quarantined := h.suspects.Crashed(h.clock.Now(), address, boot)
 	message := h.suspicionMessages()
-	if quarantined || len(message.Suspicions) > 0 || len(message.IsolatedRuns) > 0 {
+	if quarantined || len(message.Suspicions) > 0 || len(message.IsolatedRuns) > 0 || message.CrashReport != nil {
 		h.broadcastSuspicions()
 	}
 }
--- a/internal/host/messages.go
+++ b/internal/host/messages.go
@@ -77,8 +77,10 @@
 			Workspace: spare.Workspace, Tokens: spare.Tokens, DemandPerS: spare.Demand,
 		})
 	}
+	h.logSegmentDecisions()
 	suspicions := h.suspicionMessages()
 	message.Suspicions, message.IsolatedRuns, message.RunsSequence = suspicions.Suspicions, suspicions.IsolatedRuns, suspicions.RunsSequence
+	message.CrashReport = suspicions.CrashReport
 	if signs := h.signs.Load(); signs != nil {
 		message.Signs = *signs
 	}
@@ -116,7 +118,7 @@
 // suspicionMessages returns this host's suspicions and isolated runs as a message.
 func (h *Host) suspicionMessages() *peerpb.Suspicions {
 	suspicions, runs := h.suspects.Export(h.clock.Now(), peer.MaxSuspicions)
-	message := &peerpb.Suspicions{RunsSequence: runs.Sequence}
+	message := &peerpb.Suspicions{RunsSequence: runs.Sequence, CrashReport: h.crashReport()}
 	for _, s := range suspicions {
 		message.Suspicions = append(message.Suspicions, &peerpb.Suspicion{
 			Fingerprint: s.Fingerprint[:], Upstream: s.Crash.Upstream, BootId: s.Crash.Boot,
@@ -136,6 +138,7 @@
 	GetSuspicions() []*peerpb.Suspicion
 	GetIsolatedRuns() []*peerpb.IsolatedRun
 	GetRunsSequence() uint64
+	GetCrashReport() *peerpb.CrashReport
 }
 
 // mergeSuspicions merges the suspicions and isolated runs of another host.
@@ -156,6 +159,7 @@
 		})
 	}
 	h.suspects.Merge(h.clock.Now(), incarnationName(from.GetHost(), from.GetIncarnation()), suspicions, runs)
+	h.mergeCrashReport(lists.GetCrashReport())
 }
 
 func fingerprintOf(data []byte) retry.Fingerprint {
@@ -171,6 +175,7 @@
 	h.broadcast(func(ctx context.Context, host string) error {
 		return h.mesh.Suspect(ctx, host, &peerpb.Suspicions{
 			Suspicions: message.Suspicions, IsolatedRuns: message.IsolatedRuns, RunsSequence: message.RunsSequence,
+			CrashReport: message.CrashReport,
 		})
 	})
 }
--- a/internal/inference/request.go
+++ b/internal/inference/request.go
@@ -10,17 +10,20 @@
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/explain"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
 // Request is a validated model request of an authenticated caller.
 type Request struct {
-	ID           string
-	Workspace    string
-	Model        string // base model
-	Adapter      string // "" for the base model itself
-	Path         string // "/v1/chat/completions" or "/v1/completions"
-	Body         []byte // JSON; always limits the number of tokens
-	Prompt       []byte // flattened by routing.FlattenPrompt, for prefix affinity
+	ID        string
+	Workspace string
+	Model     string // base model
+	Adapter   string // "" for the base model itself
+	Path      string // "/v1/chat/completions" or "/v1/completions"
+	Body      []byte // JSON; always limits the number of tokens
+	Prompt    []byte // flattened by routing.FlattenPrompt, for prefix affinity
+	// Segments are the messages that other requests may share: all but the last.
+	Segments     []quarantine.Key
 	PromptTokens int    // estimated
 	MaxTokens    int    // maximum number of generated tokens, over all choices
 	Stream       bool   // the response is sent as server-sent events
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -147,12 +147,16 @@
 
 // checkQuarantine returns the refusal of a quarantined request, or nil.
 func (x *execution) checkQuarantine() *problem.Error {
-	until, quarantined := x.options.Suspects.Quarantined(x.options.Clock.Now(), x.fingerprint)
+	now, detail := x.options.Clock.Now(), "upstreams crashed while they ran this request"
+	until, quarantined := x.options.Suspects.Quarantined(now, x.fingerprint)
+	if !quarantined {
+		detail = "upstreams crashed while they ran requests that share a message with this one"
+		until, quarantined = x.options.Suspects.Segments().Quarantined(now, x.request.Segments)
+	}
 	if !quarantined {
 		return nil
 	}
-	refusal := problem.New(problem.Quarantined, "upstreams crashed while they ran this request").
-		WithRetryAfter(until.Sub(x.options.Clock.Now()))
+	refusal := problem.New(problem.Quarantined, "%s", detail).WithRetryAfter(until.Sub(now))
 	refusal.NotRun = !x.mayHaveRun
 	return refusal
 }
@@ -301,7 +305,7 @@
 		return refusal, true
 	}
 	class := classify(err)
-	_, quarantined := x.options.Suspects.Quarantined(x.options.Clock.Now(), x.fingerprint)
+	quarantined := x.mayCrashAgain()
 	budget := x.options.Budgets.Route(x.request.Path)
 	decision := x.options.Retries.Decide(retry.Attempt{
 		Class:             class,
@@ -326,6 +330,14 @@
 	return nil, false
 }
 
+// mayCrashAgain reports whether the request must not be given a further upstream, because it
+// or what it shares with others is known or suspected to crash upstreams.
+func (x *execution) mayCrashAgain() bool {
+	now := x.options.Clock.Now()
+	_, quarantined := x.options.Suspects.Quarantined(now, x.fingerprint)
+	return quarantined || x.options.Suspects.Segments().Suspected(now, x.request.Segments)
+}
+
 // boolToBytes returns a count for retry.Attempt.BytesToCaller, of which only
 // zero or not zero matters.
 func boolToBytes(started bool) int64 {
--- a/internal/inference/selection.go
+++ b/internal/inference/selection.go
@@ -27,7 +27,7 @@
 		index, ok := x.options.Routing.Choose(x.routingRequest(), permitted, x.random())
 		if ok {
 			address := permitted[index].Address
-			run, verdict := x.options.Suspects.Permit(x.options.Clock.Now(), x.fingerprint, address)
+			run, verdict := x.options.Suspects.Permit(x.options.Clock.Now(), x.fingerprint, address, x.request.Segments...)
 			if verdict == retry.Allowed {
 				x.request.Record.Add("routing", "chose "+address)
 				return run, address, nil
--- a/internal/peer/validate.go
+++ b/internal/peer/validate.go
@@ -15,6 +15,9 @@
 	MaxMessageBytes = 8 << 20
 	MaxSpares       = 64
 	MaxSuspicions   = 64
+	// MaxCrashedRuns bounds each list of a crash report, MaxSegments the segments of a run.
+	MaxCrashedRuns  = 64
+	MaxSegments     = 32
 	MaxSigns        = 64
 	MaxLeavingHosts = 64
 	MaxDeltas       = 256
@@ -94,6 +97,7 @@
 		c.sender(m.GetFrom())
 		c.suspicions(m.GetSuspicions())
 		c.isolatedRuns(m.GetIsolatedRuns())
+		c.crashReport(m.GetCrashReport())
 	case *peerpb.UpstreamsRequest:
 		c.message = "UpstreamsRequest"
 		c.sender(m.GetFrom())
@@ -130,9 +134,28 @@
 	}
 	c.suspicions(m.GetSuspicions())
 	c.isolatedRuns(m.GetIsolatedRuns())
+	c.crashReport(m.GetCrashReport())
 	c.signs(m.GetSigns())
 }
 
+func (c *checker) crashReport(report *peerpb.CrashReport) {
+	c.require("crash_report.runs", len(report.GetRuns()) <= MaxCrashedRuns)
+	for _, run := range report.GetRuns() {
+		c.name("crash_report.runs.upstream", run.GetUpstream())
+		c.name("crash_report.runs.boot_id", run.GetBootId())
+		c.require("crash_report.runs.segments", len(run.GetSegments()) <= MaxSegments)
+		c.duration("crash_report.runs.age_ms", run.GetAgeMs())
+	}
+	c.require("crash_report.answered", len(report.GetAnswered()) <= MaxCrashedRuns)
+	for _, answered := range report.GetAnswered() {
+		c.duration("crash_report.answered.age_ms", answered.GetAgeMs())
+	}
+	c.require("crash_report.quarantined", len(report.GetQuarantined()) <= MaxCrashedRuns)
+	for _, quarantined := range report.GetQuarantined() {
+		c.duration("crash_report.quarantined.left_ms", quarantined.GetLeftMs())
+	}
+}
+
 func (c *checker) suspicions(suspicions []*peerpb.Suspicion) {
 	c.require("suspicions", len(suspicions) <= MaxSuspicions)
 	for _, suspicion := range suspicions {
--- a/internal/retry/dump.go
+++ b/internal/retry/dump.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
 // SuspectDump describes one suspect in the diagnostic dump.
@@ -16,6 +19,14 @@
 	Expires     time.Time `json:"expires"`
 }
 
+// SegmentDump describes one quarantined segment of prompts in the diagnostic dump.
+type SegmentDump struct {
+	Segment string    `json:"segment"`
+	Expires time.Time `json:"expires"`
+}
+
+func formatKey(key quarantine.Key) string { return strconv.FormatUint(uint64(key), 16) }
+
 // Dump returns the requests with uncleared crash records, sorted by fingerprint.
 func (s *Suspects) Dump(now time.Time) []SuspectDump {
 	s.mu.Lock()
--- a/internal/retry/run.go
+++ b/internal/retry/run.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
 // Run is one attempt of a request at an upstream.
@@ -14,6 +16,12 @@
 	upstream    string
 	isolated    bool
 	begun       bool // see Begin; guarded by suspects.mu
+	id          uint64
+	segments    []quarantine.Key // the shared segments of the prompt; never changes
+	// firstOutput is when the upstream began to answer; nil: not yet. answered reports that
+	// it has been answering for answeredAfter.
+	firstOutput atomic.Pointer[time.Time]
+	answered    atomic.Bool
 	// held is the crash that was recorded against the run although its connection had not
 	// been lost; guarded by suspects.mu. mayBeCleared reports that there is one.
 	held         Crash
@@ -24,6 +32,7 @@
 // against the request.
 func (r *Run) Completed(now time.Time) {
 	s := r.suspects
+	s.segments.recordAnswer(now, r.segments)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeRun(r)
@@ -39,6 +48,10 @@
 // Progressed records that the upstream goes on with a run. A crash that was recorded against
 // it is cleared: the run began after the upstream had started again.
 func (r *Run) Progressed(now time.Time) {
+	if r.outputFor(now) >= answeredAfter && !r.answered.Swap(true) {
+		r.suspects.segments.recordAnswer(now, r.segments)
+	}
+	r.firstOutput.CompareAndSwap(nil, &now)
 	if !r.mayBeCleared.Swap(false) {
 		return
 	}
@@ -54,6 +67,15 @@
 	s.notify()
 }
 
+// outputFor returns for how long the upstream has been answering the run.
+func (r *Run) outputFor(now time.Time) time.Duration {
+	first := r.firstOutput.Load()
+	if first == nil {
+		return 0
+	}
+	return now.Sub(*first)
+}
+
 // Ended ends a run that neither completed nor lost its connection, for example
 // because the caller disconnected or the upstream refused the request. It leaves
 // the crash records unchanged.
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
 // lostRunTTL is how long after the loss of a connection a reported crash of the
@@ -39,7 +42,8 @@
 //
 // Suspects is safe for concurrent use.
 type Suspects struct {
-	metrics *suspectMetrics
+	metrics  *suspectMetrics
+	segments *Segments
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
@@ -56,6 +60,7 @@
 // NewSuspects returns an empty Suspects and registers its metrics.
 func NewSuspects(registerer prometheus.Registerer) *Suspects {
 	s := &Suspects{
+		segments: newSegments(),
 		suspects: map[Fingerprint]*suspect{},
 		runs:     map[string]map[*Run]struct{}{},
 		isolated: map[Fingerprint]*Run{},
@@ -66,10 +71,13 @@
 	return s
 }
 
+// Segments returns the attribution of crashes to segments that requests share.
+func (s *Suspects) Segments() *Segments { return s.segments }
+
 // Permit decides whether a request may run at an upstream now, and records the run
-// if it may. The Run is nil unless the verdict is Allowed; the caller must end it
+// if it may. The segments are those of the prompt that other requests may share. The Run is nil unless the verdict is Allowed; the caller must end it
 // with Completed, Ended or ConnectionLost.
-func (s *Suspects) Permit(now time.Time, f Fingerprint, upstream string) (*Run, Verdict) {
+func (s *Suspects) Permit(now time.Time, f Fingerprint, upstream string, segments ...quarantine.Key) (*Run, Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	verdict, isolate := s.classify(now, f, upstream)
@@ -77,7 +85,7 @@
 		s.metrics.countRefusal(verdict)
 		return nil, verdict
 	}
-	run := &Run{suspects: s, fingerprint: f, upstream: upstream, isolated: isolate}
+	run := &Run{suspects: s, fingerprint: f, upstream: upstream, isolated: isolate, id: rand.Uint64(), segments: segments}
 	s.addRun(run)
 	return run, Allowed
 }
@@ -320,6 +328,7 @@
 			continue
 		}
 		s.removeRun(run)
+		s.segments.recordCrash(now, run, crash)
 		if !lost {
 			run.held = crash
 			run.mayBeCleared.Store(true)
