Coordinator: files of their own for reports and estimates

coordinator.go had grown to 427 lines and orders.go to 285: reading reports and estimating when models are ready are jobs of their own. Tests of the package pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,24 +21,15 @@
 	planIntervalPerEngine = 50 * time.Microsecond
 	// viewInterval is the shortest time between two collections of engine changes.
 	viewInterval = 20 * time.Millisecond
-	// maxConcurrentReports limits how many engine reports are read at once, so that a new
-	// coordinator of a large fleet keeps answering hosts meanwhile.
-	maxConcurrentReports = 40
 	// swapOverhead is the time, in addition to the load itself, until a model that replaces
 	// another one can serve.
 	swapOverhead = 700 * time.Millisecond
 	// unreachableQuorum is the number of hosts that must fail to reach an engine before it
 	// counts as unreachable.
 	unreachableQuorum = 2
-	// suspectRecheckDelay is the shortest time between two report reads of an engine that
-	// hosts suspect.
-	suspectRecheckDelay = 300 * time.Millisecond
 	// storeRateWindow is the window over which the rate of loads from the weight store is
 	// limited.
 	storeRateWindow = 5 * time.Second
-	// maxEstimate caps the ready time that is estimated for a load queued for the weight
-	// store.
-	maxEstimate = 30 * time.Second
 )
 
 // Lease reports whether this host may send orders to engines.
@@ -185,18 +176,6 @@
 	return grants
 }
 
-func (c *Coordinator) estimatesFor(request *ExchangeRequest) []Estimate {
-	var wanted []Estimate
-	for _, estimate := range c.estimates {
-		for _, d := range request.Demand {
-			if d.ModelKey == estimate.ModelKey {
-				wanted = append(wanted, estimate)
-			}
-		}
-	}
-	return wanted
-}
-
 // Run plans placements and sends orders while this host holds the lease, until ctx is done.
 func (c *Coordinator) Run(ctx context.Context) {
 	defer c.actions.Wait()
@@ -294,38 +273,6 @@
 	}
 }
 
-// startReports starts reading the reports of engines whose content is not settled.
-func (c *Coordinator) startReports(ctx context.Context, now time.Duration) {
-	for _, engine := range c.fleet {
-		if c.activeReports >= maxConcurrentReports {
-			return // the rest is started by the next tick
-		}
-		if engine.settled() || engine.occupied || engine.reportInFlight || engine.upstream.Draining || now < engine.retryAt ||
-			c.fleetState.Paused(engine.upstream) {
-			continue
-		}
-		engine.reportInFlight = true
-		c.activeReports++
-		c.actions.Add(1)
-		go func() {
-			defer c.actions.Done()
-			read := false
-			c.confined("reading a report", func() { read = c.refreshReport(ctx, engine) })
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			engine.reportInFlight = false
-			c.activeReports--
-			if engine.suspected {
-				engine.suspected = false
-				engine.nextRecheck = c.now() + suspectRecheckDelay
-			}
-			if !read || !engine.settled() {
-				engine.retryAt = c.now() + failureBackoff
-			}
-		}()
-	}
-}
-
 func (c *Coordinator) planService(ctx context.Context, now time.Duration, service *catalog.Service) {
 	input := PlanInput{
 		Now: now, Service: service, Demand: c.demand.forService(now, service.Name),
@@ -368,60 +315,3 @@
 		c.confined("placing a model", func() { c.executeAction(ctx, engine, &action) })
 	}()
 }
-
-// updateEstimates estimates when the models that requests wait for will be ready.
-func (c *Coordinator) updateEstimates(now time.Duration, service *catalog.Service, input PlanInput) {
-	var queued []string
-	pause := c.lease.TimeUntilOrders()
-	for model, demand := range input.Demand {
-		if demand.Waiting == 0 {
-			continue
-		}
-		readyIn, known := c.readyIn(now, service.Name, model)
-		if known {
-			c.addEstimate(service.Name, model, readyIn)
-			continue
-		}
-		if c.hasLocalCopy(service.Name, model) {
-			c.addEstimate(service.Name, model, pause+service.Engine.Models[model].LoadDisk+swapOverhead)
-			continue
-		}
-		queued = append(queued, model)
-	}
-	slices.SortFunc(queued, func(a, b string) int {
-		return int(input.Demand[b].Oldest - input.Demand[a].Oldest)
-	})
-	for i, model := range queued {
-		turn := time.Duration(i/maxStoreLoads+1) * service.Engine.Models[model].Load
-		c.addEstimate(service.Name, model, min(pause+turn+swapOverhead, maxEstimate))
-	}
-}
-
-func (c *Coordinator) addEstimate(service, model string, in time.Duration) {
-	c.estimates = append(c.estimates, Estimate{ModelKey: ModelKey{service, model}, ReadyInMS: int(in.Milliseconds())})
-}
-
-func (c *Coordinator) readyIn(now time.Duration, service, model string) (time.Duration, bool) {
-	for _, engine := range c.fleet {
-		if engine.upstream.Service != service || engine.cutOff() {
-			continue
-		}
-		if engine.ready(model) {
-			return 0, true
-		}
-		if engine.loading != nil && engine.loading.Load == model {
-			return max(0, engine.readyAt-now), true
-		}
-	}
-	return 0, false
-}
-
-func (c *Coordinator) hasLocalCopy(service, model string) bool {
-	for _, engine := range c.fleet {
-		if engine.upstream.Service == service && !engine.upstream.Draining && !engine.cutOff() &&
-			(slices.Contains(engine.holdings.OnDisk, model) || slices.Contains(engine.holdings.InMemory, model)) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -14,12 +14,6 @@
 	// OrderTimeout limits the call of an order; engines answer within a few milliseconds.
 	// The connection is reset afterwards, so that the order cannot arrive later.
 	OrderTimeout = 600 * time.Millisecond
-	// reportTimeout limits the call that reads a report.
-	reportTimeout = 400 * time.Millisecond
-	// reportLag is the maximum age of a report's content.
-	reportLag = 110 * time.Millisecond
-	// reportPollInterval is the time between two report reads while an order is overdue.
-	reportPollInterval = 60 * time.Millisecond
 	// unloadTime is the time that an engine takes to unload a model without running
 	// requests.
 	unloadTime = 52 * time.Millisecond
@@ -243,40 +237,6 @@
 	engine.retryAt = c.now() + failureBackoff
 }
 
-// refreshReport reads the engine's report while no order is in flight: a report that
-// includes an order whose response is still outstanding would count it twice.
-func (c *Coordinator) refreshReport(ctx context.Context, engine *engineState) bool {
-	engine.orderMu.Lock()
-	defer engine.orderMu.Unlock()
-	return c.readReport(ctx, engine)
-}
-
-// readReport reads the engine's report. The caller holds engine.orderMu.
-func (c *Coordinator) readReport(ctx context.Context, engine *engineState) bool {
-	c.mu.Lock()
-	upstream := engine.upstream
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	holdings, err := c.engines.Report(ctx, upstream)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	engine.reportFailed = err != nil
-	if err != nil {
-		c.log.V(1).Info("Cannot read engine report.", "upstream", upstream.ID, "error", err.Error())
-		return false
-	}
-	if engine.reported && holdings.OrderSeq < engine.holdings.OrderSeq {
-		return false
-	}
-	if len(holdings.OnDisk) == 0 && len(holdings.InMemory) == 0 {
-		holdings.OnDisk, holdings.InMemory = engine.holdings.OnDisk, engine.holdings.InMemory
-	}
-	engine.applyReport(holdings)
-	engine.changed = true
-	return true
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
