Entry hosts: a run that was not sent is blamed for no crash

What callers saw: a request that crashes engines was refused as quarantined by all hosts, and ran once more ten seconds later: it crashed a further engine, and its caller got 502 (TestCrashingRequestIsQuarantined, listed as red, 1 of 14 runs with its logs kept).

Cause, from the logs of that run: engine 45141 crashed at 57.88 s while the request ran alone. At 57.90 and 57.96 s host h5 permitted two harmless suspects there; their connections were refused. At 58.905 s h5 noticed the restart and recorded the crash against the run that it had permitted at 58.881 s. Such a record stays until its request completes: two crashes with the guilty request in both, so the crash counted as unattributable on each host that heard of it, and the quarantine was void until then.

Change: a run that was not sent, or that its upstream states not to have run, clears the crash that was recorded against it (Run.NotRun). For segments such a crash counts only when the run's connection is lost.

Before: TestCrashIsClearedForARunThatWasNotSent fails, with the call that was made before (Ended).

--- a/internal/inference/attempt.go
+++ b/internal/inference/attempt.go
@@ -25,6 +25,8 @@
 	case errors.As(err, &interrupted), errors.As(err, &unknown):
 		run.ConnectionLost(now)
 		x.options.Upstreams.ConnectionLost(address)
+	case classify(err) == retry.ConnectFailed, classify(err) == retry.RefusedNotRun:
+		run.NotRun(now)
 	default:
 		run.Ended()
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -221,6 +221,22 @@
 	}
 }
 
+// Guards against holding a crash against a run that was permitted at an upstream which had
+// crashed already, and was never sent. The crash of the request that causes them could then
+// not be attributed, and the request was allowed again (TestCrashingRequestIsQuarantined).
+func TestCrashIsClearedForARunThatWasNotSent(t *testing.T) {
+	s, poison, harmless := newSuspects(), fingerprint("poison"), fingerprint("harmless")
+	run(t, s, poison, "u1").ConnectionLost(start)
+	run(t, s, harmless, "u1").ConnectionLost(start)
+	s.Crashed(start, "u1", "boot1")
+	run(t, s, poison, "u2").ConnectionLost(start)
+	unsent := run(t, s, harmless, "u2") // u2 refuses connections
+	s.Crashed(start, "u2", "boot1")
+	unsent.NotRun(start)
+	wantQuarantined(t, s, poison, true, "the other run was not sent")
+	wantQuarantined(t, s, harmless, false, "it was not sent")
+}
+
 // Guards against memory use and heartbeats that grow without bound with the number
 // of crashes.
 func TestSuspectsAreBounded(t *testing.T) {
--- a/internal/retry/run.go
+++ b/internal/retry/run.go
@@ -58,15 +58,35 @@
 	s := r.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if entry := s.lookup(now, r.fingerprint); entry != nil {
-		if held := entry.findRecord(r.held); held != nil {
-			held.cleared, held.changedAt = true, now
-		}
-	}
+	s.clearHeld(now, r)
 	s.addRun(r)
 	s.notify()
 }
 
+// clearHeld clears the crash that was recorded against a run although its connection had
+// not been lost. It requires s.mu.
+func (s *Suspects) clearHeld(now time.Time, r *Run) {
+	entry := s.lookup(now, r.fingerprint)
+	if entry == nil {
+		return
+	}
+	if held := entry.findRecord(r.held); held != nil {
+		held.cleared, held.changedAt = true, now
+	}
+}
+
+// NotRun ends a run that the upstream did not begin: it was not sent, or the upstream stated
+// that it did not run. A crash that was recorded against it is cleared.
+func (r *Run) NotRun(now time.Time) {
+	s := r.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.mayBeCleared.Swap(false) {
+		s.clearHeld(now, r)
+	}
+	s.removeRun(r)
+}
+
 // outputFor returns for how long the upstream has been answering the run.
 func (r *Run) outputFor(now time.Time) time.Duration {
 	first := r.firstOutput.Load()
@@ -77,7 +97,7 @@
 }
 
 // Ended ends a run that neither completed nor lost its connection, for example
-// because the caller disconnected or the upstream refused the request. It leaves
+// because the caller disconnected or the upstream answered with an error. It leaves
 // the crash records unchanged.
 func (r *Run) Ended() {
 	s := r.suspects
@@ -93,7 +113,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, running := s.runs[r.upstream][r]; !running {
-		return // the crash is already recorded
+		// The crash is already recorded against the request.
+		if r.mayBeCleared.Load() {
+			s.segments.recordCrash(now, r, r.held)
+		}
+		return
 	}
 	s.lostRuns[r] = now
 	s.releaseIsolation(r)
--- a/internal/retry/segments_test.go
+++ b/internal/retry/segments_test.go
@@ -42,7 +42,7 @@
 // crash crashes an upstream that runs one request with the bad segment.
 func (h *segmentHost) crash(now time.Time, upstream, boot string) {
 	h.t.Helper()
-	h.run(now, upstream, commonSegment, badSegment)
+	h.run(now, upstream, commonSegment, badSegment).ConnectionLost(now)
 	h.Crashed(now, upstream, boot)
 }
 
@@ -128,12 +128,33 @@
 		run := h.run(now, "e1", badSegment)
 		run.Progressed(now)
 		now = now.Add(answeredAfter)
+		run.ConnectionLost(now)
 		h.Crashed(now, "e1", fmt.Sprint("boot-", i))
 	}
 	now = now.Add(2 * time.Second)
 	h.expect(now, "answered before each crash", badSegment, false)
 }
 
+// Guards against crashes that are counted for no segment, or for one whose run was never sent,
+// because the host notices the crash before the run's own connection ends.
+func TestCrashNoticedBeforeTheRunEnds(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		h, now := newSegmentHost(t), time.Now()
+		for i := range 3 {
+			run := h.run(now, "e1", badSegment)
+			h.Crashed(now, "e1", fmt.Sprint("boot-", i))
+			if sent {
+				run.ConnectionLost(now)
+			} else {
+				run.NotRun(now)
+			}
+			now = now.Add(time.Second)
+		}
+		now = now.Add(time.Second)
+		h.expect(now, fmt.Sprintf("sent %v", sent), badSegment, sent)
+	}
+}
+
 // Guards against a workspace that gets the messages of another one refused.
 func TestSegmentsBelongToTheirWorkspace(t *testing.T) {
 	if NewSegmentKey("a", []byte("hello")) == NewSegmentKey("b", []byte("hello")) {
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -328,8 +328,9 @@
 			continue
 		}
 		s.removeRun(run)
-		s.segments.recordCrash(now, run, crash)
-		if !lost {
+		if lost {
+			s.segments.recordCrash(now, run, crash)
+		} else {
 			run.held = crash
 			run.mayBeCleared.Store(true)
 		}
--- a/internal/service/executor.go
+++ b/internal/service/executor.go
@@ -351,6 +351,8 @@
 		run.Completed(now)
 	case errors.As(err, &interrupted) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
 		run.ConnectionLost(now)
+	case errors.As(err, &unsent):
+		run.NotRun(now)
 	default:
 		run.Ended()
 	}
