Entry hosts: hosts do not extend a quarantine by telling each other of it

What callers would see: requests with a quarantined message stay refused after its end. Cause: hosts tell peers of all quarantined segments, those that they were told of included, and a receiver takes the later end, which is later by the time that the message took. Each exchange adds that time. Besides, a quarantine that had just ended could be told with a negative time, and peers reject the whole heartbeat then.

Change: peers are told only of quarantines that last for another second, and a host that holds one keeps its own end.

Before: TestToldQuarantineEnds fails (messages of 300 ms, two heartbeats a second: still quarantined 2 s after the end). After: passes; tests of internal/retry pass, TestMessageThatCrashesEnginesIsQuarantined 2 of 2. Gateway hosts do not use this code.

--- a/internal/retry/segments.go
+++ b/internal/retry/segments.go
@@ -18,6 +18,9 @@
 	// crashReportWindow is how long a crash and an answer are reported to peers: twenty
 	// heartbeats of 500 ms.
 	crashReportWindow = 10 * time.Second
+	// minTold is the shortest rest of a quarantine of which peers are told. It exceeds the
+	// time that a message takes, so that hosts do not tell each other of it without end.
+	minTold = time.Second
 	// crashMemory is how long the time of a crash is remembered; older crashes count no more.
 	crashMemory = time.Minute
 	// maxReported bounds each list of a report to peers, maxSegments the segments of a run:
@@ -220,7 +223,7 @@
 		}
 	}
 	for _, q := range s.tracker.Quarantined(at, notConsulted) {
-		if len(report.Quarantined) < maxReported {
+		if q.Until-at >= minTold && len(report.Quarantined) < maxReported {
 			report.Quarantined = append(report.Quarantined, QuarantinedSegment{q.Key, q.Until - at})
 		}
 	}
@@ -241,7 +244,11 @@
 	for _, answered := range report.Answered {
 		s.tracker.Answered(at-answered.Age, answered.Segment)
 	}
+	held := s.tracker.Quarantined(at, notConsulted)
 	for _, q := range report.Quarantined {
+		if slices.ContainsFunc(held, func(h quarantine.Quarantine) bool { return h.Key == q.Segment }) {
+			continue // its end is known here; the told one is later by the time of the message
+		}
 		s.tracker.Adopt(quarantine.Quarantine{Key: q.Segment, Until: at + min(q.Left, SuspicionTTL)})
 	}
 }
--- a/internal/retry/segments_test.go
+++ b/internal/retry/segments_test.go
@@ -108,6 +108,35 @@
 	restarted.expect(now, "told by a peer", badSegment, true)
 }
 
+// Guards against a quarantine that two hosts extend by telling each other of it, each time
+// by the time that a message takes, and against telling peers of one that has just ended.
+func TestToldQuarantineEnds(t *testing.T) {
+	a, b, now := newSegmentHost(t), newSegmentHost(t), time.Now()
+	for i := range 3 {
+		a.crash(now, "e1", fmt.Sprint("boot-", i))
+	}
+	now = now.Add(2 * time.Second)
+	end, quarantined := a.Segments().Quarantined(now, []quarantine.Key{badSegment})
+	if !quarantined {
+		t.Fatal("the segment is not quarantined")
+	}
+	const delay = 300 * time.Millisecond
+	for now.Before(end.Add(2 * time.Second)) {
+		fromA, fromB := a.Segments().Export(now), b.Segments().Export(now)
+		for _, q := range append(fromA.Quarantined, fromB.Quarantined...) {
+			if q.Left < 0 {
+				t.Fatalf("told of a quarantine that ended %v ago", -q.Left)
+			}
+		}
+		now = now.Add(delay)
+		a.Segments().Merge(now, fromB)
+		b.Segments().Merge(now, fromA)
+		now = now.Add(200 * time.Millisecond)
+	}
+	a.expect(now, "2 s after its end", badSegment, false)
+	b.expect(now, "2 s after its end", badSegment, false)
+}
+
 // Guards against refusing a segment that is answered at another host.
 func TestAnswersOfPeersClearSegments(t *testing.T) {
 	a, b, now := newSegmentHost(t), newSegmentHost(t), time.Now()
