--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -125,6 +125,9 @@
 	if d.sends > 0 && !d.gateway.exchanger.retryBudget.Allow(time.Now(), d.service.Name) {
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: "retry budget used up", retryAfter: limitedRetryAfter}
 	}
+	if refused := d.checkKey(); refused != nil {
+		return false, refused
+	}
 	id := candidate.Upstream.ID
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
@@ -204,6 +207,10 @@
 	if presence.Left(d.ctx) {
 		return false
 	}
+	if d.checkKey() != nil {
+		d.withheld++ // the next send is refused with the reason
+		return false
+	}
 	if !d.gateway.registry.BeginSend(to) {
 		d.withheld++
 		d.gateway.metrics.sendsWithheld.Inc()
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -42,6 +43,30 @@
 	}
 }
 
+// configSnapshot is a version of the configuration with the time up to which it was
+// confirmed to be the newest one.
+type configSnapshot struct {
+	config      *catalog.Config // nil: none yet
+	confirmedAt time.Duration   // on the boot clock; 0: never
+}
+
+// age returns the time since the configuration was confirmed.
+func (s configSnapshot) age() time.Duration {
+	if s.confirmedAt == 0 {
+		return table.NeverConfirmed
+	}
+	return clock.SinceBoot() - s.confirmedAt
+}
+
+// snapshot returns the current version and its confirmation. The confirmation is read first:
+// the replica's lock is held while a new version is applied, so the version read afterwards
+// is at least as new as the confirmation. The other order would combine a replaced version,
+// with its withdrawn keys, with the confirmation of its successor.
+func (c *configuration) snapshot() configSnapshot {
+	confirmedAt := c.replica.ConfirmedAt()
+	return configSnapshot{config: c.current.Load(), confirmedAt: confirmedAt}
+}
+
 func (c *configuration) version() int64 {
 	if config := c.current.Load(); config != nil {
 		return config.Version
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,11 +127,11 @@
 	return g.options.DroppedLogLines()
 }
 
-// keysConfirmed reports whether the configuration was confirmed recently enough to
-// accept keys.
-func (g *Gateway) keysConfirmed() bool {
+// keysConfirmed reports whether a version of the configuration was confirmed recently
+// enough to accept keys by it.
+func (g *Gateway) keysConfirmed(by configSnapshot) bool {
 	bound := g.settings.KeyConfirmation()
-	return bound == 0 || g.config.age() < bound-keyConfirmationMargin
+	return bound == 0 || by.age() < bound-keyConfirmationMargin
 }
 
 // Ready reports whether the host accepts new connections.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,7 @@
 	httpRequest *http.Request
 	startedAt   time.Time
 	request     *call.Request
+	snapshot    configSnapshot // of the version by which the request was matched
 	config      *catalog.Config
 	route       *catalog.Route
 	service     *catalog.Service
@@ -101,7 +102,8 @@
 
 // match finds the route and the service in the current version of the configuration.
 func (in *inbound) match() *refusal {
-	in.config = in.gateway.config.current.Load()
+	in.snapshot = in.gateway.config.snapshot()
+	in.config = in.snapshot.config
 	if in.config == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: staleRetryAfter}
 	}
@@ -120,7 +122,7 @@
 // unlessConfigStale replaces a refusal by 503 if the configuration is outdated, since
 // a newer version may accept the request.
 func (in *inbound) unlessConfigStale(r *refusal) *refusal {
-	if in.gateway.config.age() < maxConfigAge {
+	if in.snapshot.age() < maxConfigAge {
 		return r
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: r.reason + "; configuration not confirmed", retryAfter: staleRetryAfter}
@@ -135,7 +137,27 @@
 	if in.workspace == nil {
 		return in.unlessConfigStale(&refusal{status: http.StatusUnauthorized, reason: "unknown key"})
 	}
-	if !in.gateway.keysConfirmed() {
+	if !in.gateway.keysConfirmed(in.snapshot) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "keys not confirmed", retryAfter: staleRetryAfter}
+	}
+	return nil
+}
+
+// checkKey checks the key of a request again, right before it is sent: the key may have been
+// withdrawn while the request waited.
+func (in *inbound) checkKey() *refusal {
+	if in.workspace == nil {
+		return nil
+	}
+	current := in.gateway.config.snapshot()
+	if !current.config.KeysRequired() {
+		return nil
+	}
+	owner := current.config.KeyOwner(in.request.Key)
+	if owner == nil || owner.Name != in.workspace.Name {
+		return &refusal{status: http.StatusUnauthorized, reason: "key was withdrawn"}
+	}
+	if !in.gateway.keysConfirmed(current) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "keys not confirmed", retryAfter: staleRetryAfter}
 	}
 	return nil
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -29,6 +29,9 @@
 	// maxLoggedRows is the number of rows of one read beyond which new upstreams are
 	// logged in one line.
 	maxLoggedRows = 32
+	// maxKnownStarts is the number of upstreams from which the starts of removed ones are
+	// forgotten. Upstreams that start anew mostly have a new ID.
+	maxKnownStarts = 1 << 16
 )
 
 // DecodeUpstream decodes the row of an upstream.
@@ -52,6 +55,7 @@
 
 	mu            sync.Mutex
 	entries       map[string]*catalog.Upstream
+	lastStart     map[string]int64     // start of the newest known incarnation, Unix ms, by ID
 	missing       map[string]time.Time // time until which a missing entry is kept, by ID
 	lastOutage    time.Time            // last failed call of an outage in which entries can expire
 	engines       map[string]coordinator.EngineView
@@ -70,7 +74,7 @@
 func NewRegistry(decode DecodeUpstream, onRemove func(id string), log logr.Logger) *Registry {
 	r := &Registry{
 		decode: decode, log: log, onRemove: onRemove, statements: statement.NewTracker(), now: clock.SinceBoot,
-		entries: map[string]*catalog.Upstream{}, missing: map[string]time.Time{},
+		entries: map[string]*catalog.Upstream{}, lastStart: map[string]int64{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
 		missingModels: map[requestKey]time.Time{},
 		running:       map[requestKey]int{}, otherHosts: map[string]int{}, changed: make(chan struct{}),
@@ -152,6 +156,11 @@
 		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "error", err.Error())
 		return
 	}
+	if reason := r.outOfOrder(entry); reason != "" {
+		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "born", entry.StartedMS, "error", reason)
+		return
+	}
+	r.recordStart(entry)
 	delete(r.missing, row.Key)
 	entry.Draining = entry.Draining || r.statements.Leaving(statement.IncarnationOf(entry))
 	known := r.entries[row.Key]
@@ -171,6 +180,32 @@
 	}
 }
 
+// outOfOrder returns why an entry can't describe the known incarnation of its upstream or a
+// later one; "" if it can. Such an entry comes from another writer. Taken for a new start, it
+// would revoke the statement of the upstream that it leaves.
+func (r *Registry) outOfOrder(entry *catalog.Upstream) string {
+	if entry.StartedMS < r.lastStart[entry.ID] {
+		return "start is missing or earlier than the known one"
+	}
+	known := r.entries[entry.ID]
+	if known != nil && known.StartedMS == entry.StartedMS && known.StartedMS > 0 && known.Service != entry.Service {
+		return "another service for the same start"
+	}
+	return ""
+}
+
+// recordStart keeps the start of the newest incarnation of an upstream, also beyond its
+// removal.
+func (r *Registry) recordStart(entry *catalog.Upstream) {
+	if entry.StartedMS == 0 || r.lastStart[entry.ID] == entry.StartedMS {
+		return
+	}
+	if len(r.lastStart) >= maxKnownStarts {
+		maps.DeleteFunc(r.lastStart, func(id string, _ int64) bool { return r.entries[id] == nil })
+	}
+	r.lastStart[entry.ID] = entry.StartedMS
+}
+
 // remove removes an upstream, or keeps it for a grace period if its entry may have
 // expired in an outage of the table service.
 func (r *Registry) remove(id string, now time.Time) {
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/table"
@@ -97,3 +98,39 @@
 		t.Errorf("%d candidates, want s1, s2 and s3", len(candidates))
 	}
 }
+
+// Guards against an entry of another writer, without a start or with an earlier one, that
+// brings an upstream back which has said that it leaves (review/2).
+func TestEntryOutOfOrderChangesNothing(t *testing.T) {
+	entries := map[string]*catalog.Upstream{
+		"first":    {ID: "s1", Service: "ledger", Address: "s1:1", StartedMS: 1000},
+		"unborn":   {ID: "s1", Service: "ledger", Address: "s1:1"},
+		"earlier":  {ID: "s1", Service: "ledger", Address: "s1:2", StartedMS: 999},
+		"service":  {ID: "s1", Service: "other", Address: "s1:1", StartedMS: 1000},
+		"restart":  {ID: "s1", Service: "ledger", Address: "s1:1", StartedMS: 2000},
+		"unborn s": {ID: "s1", Service: "other", Address: "s1:3"},
+	}
+	decode := func(row table.Row) (*catalog.Upstream, error) {
+		entry := *entries[string(row.Value)]
+		return &entry, nil
+	}
+	r := NewRegistry(decode, func(string) {}, logr.Discard())
+	apply := func(name string) { r.Apply([]table.Row{{Key: "s1", Value: []byte(name)}}, false) }
+	apply("first")
+	r.RecordStatement(r.entries["s1"], call.Statement{Leaving: true})
+	for _, name := range []string{"unborn", "earlier", "service", "unborn s", "first"} {
+		apply(name)
+		if candidates := append(r.Candidates("ledger", "", ""), r.Candidates("other", "", "")...); len(candidates) != 0 {
+			t.Errorf("after the entry %q the leaving upstream is used: %+v", name, candidates[0].Upstream)
+		}
+	}
+	r.Apply([]table.Row{{Key: "s1", Deleted: true}}, false)
+	apply("unborn")
+	if candidates := r.Candidates("ledger", "", ""); len(candidates) != 0 {
+		t.Error("an entry without a start brings a removed upstream back")
+	}
+	apply("restart")
+	if candidates := r.Candidates("ledger", "", ""); len(candidates) != 1 {
+		t.Error("a restarted upstream is not used")
+	}
+}
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -57,8 +57,8 @@
 	revision int64
 }
 
-// neverConfirmed is the age of a replica whose content was never confirmed.
-const neverConfirmed = time.Duration(1 << 62)
+// NeverConfirmed is the age of a replica whose content was never confirmed.
+const NeverConfirmed = time.Duration(1 << 62)
 
 // Age returns the time since the content was last confirmed.
 func (r *Replica) Age() time.Duration {
@@ -68,9 +68,16 @@
 	return r.age(now)
 }
 
+// ConfirmedAt returns when the content was last confirmed, on the boot clock; 0: never.
+func (r *Replica) ConfirmedAt() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 func (r *Replica) age(now time.Duration) time.Duration {
 	if r.confirmed == 0 {
-		return neverConfirmed
+		return NeverConfirmed
 	}
 	return now - r.confirmed
 }
@@ -157,12 +164,20 @@
 }
 
 // ApplyPage applies a page of the table service, whose call began at requestedAt, on the
-// boot clock. With full set the page is the whole table.
+// boot clock. With full set the page is the whole table. A whole table that was read before
+// later changes arrived by another way does not undo these changes.
 func (r *Replica) ApplyPage(page Page, full bool, requestedAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changed []Row
 	if full || !r.loaded {
+		if r.loaded && page.Revision < r.revision {
+			if page.Revision < r.droppedUpTo {
+				return // what changed since then is no longer known
+			}
+			page.Rows = overlay(page.Rows, r.after(page.Revision))
+			page.Revision = r.revision
+		}
 		changed = r.replace(page)
 		full = true
 	} else {
@@ -176,6 +191,23 @@
 	}
 }
 
+// overlay returns the rows of a table that was read before the given changes, with these
+// changes applied.
+func overlay(rows, changes []Row) []Row {
+	current := make(map[string]Row, len(rows)+len(changes))
+	for _, row := range rows {
+		current[row.Key] = row
+	}
+	for _, row := range changes {
+		if row.Deleted {
+			delete(current, row.Key)
+		} else {
+			current[row.Key] = row
+		}
+	}
+	return slices.Collect(maps.Values(current))
+}
+
 func (r *Replica) replace(page Page) []Row {
 	r.rows = make(map[string]Row, len(page.Rows))
 	r.changes = nil
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -152,3 +152,19 @@
 		t.Errorf("k7 is %q at revision %d", got, copied.Revision())
 	}
 }
+
+// Guards against a whole table that was read before an update arrived by another way: it
+// brought removed rows back and older values, while the revision stayed the newer one.
+func TestTableReadBeforeAnUpdateDoesNotUndoIt(t *testing.T) {
+	var r Replica
+	now := clock.SinceBoot()
+	r.ApplyPage(Page{Rows: []Row{newRow("a", "1", 1), newRow("b", "1", 2), newRow("c", "1", 3)}, Revision: 3}, true, now)
+	r.ApplyUpdate(Update{Rows: []Row{newRow("a", "2", 5), {Key: "b", Revision: 6, Deleted: true}}, Revision: 6}, now)
+	r.ApplyPage(Page{Rows: []Row{newRow("a", "1", 1), newRow("b", "1", 2), newRow("c", "2", 4)}, Revision: 4}, true, now)
+	if held := contents(&r); len(held) != 2 || held["a"] != "2" || held["c"] != "2" {
+		t.Errorf("content %v, want a=2 and c=2", held)
+	}
+	if r.Revision() != 6 {
+		t.Errorf("revision %d, want 6", r.Revision())
+	}
+}
