Evacuation of data centres

Cause: an operator could not take the upstreams of a data centre out of use. Rows that request it stand in the operator's table, which hosts already follow, relay and keep, but only the configuration was read from it.

Change: evacuations are decoded in platform, applied before a new configuration is in force, and looked at for each choice of an upstream and right before each send (BeginSend). Plain services leave upstreams there at once if there are others. The last replica of a model stays in use for 40% of the bound after the host learned of the request, never beyond the bound less 0.75 s after the last confirmation without the request, and not at all without one (restart). The coordinator counts engines there as draining, sends them no orders and reads no reports, ends retries of orders, reads their reports anew afterwards, and counts the requests of one second for models that only they serve as waiting, so that these are loaded elsewhere. A service without upstreams elsewhere is refused at once with a Retry-After.

--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -32,3 +32,6 @@
 	_, ok := h.Models[model]
 	return ok
 }
+
+// Evacuation requests that nothing more be sent to the upstreams of a data centre.
+type Evacuation struct{ DataCenter string }
--- a/internal/coordinator/adapters.go
+++ b/internal/coordinator/adapters.go
@@ -95,7 +95,7 @@
 	var free, occupied []string
 	now := c.now()
 	for id, e := range c.fleet {
-		if e.upstream.Service != request.Service || e.upstream.Draining || !e.ready(request.Model) {
+		if e.upstream.Service != request.Service || e.leaves() || !e.ready(request.Model) {
 			continue
 		}
 		if slices.Contains(e.holdings.Models[request.Model], request.Adapter) {
@@ -159,7 +159,7 @@
 // loadedElsewhere reports whether another engine that serves the model has the adapter.
 func (c *Coordinator) loadedElsewhere(engine *engineState, model, adapter string) bool {
 	for _, other := range c.fleet {
-		if other != engine && other.ready(model) && slices.Contains(other.holdings.Models[model], adapter) {
+		if other != engine && !other.evacuated && other.ready(model) && slices.Contains(other.holdings.Models[model], adapter) {
 			return true
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,6 +52,9 @@
 	Upstreams() []*catalog.Upstream
 	// Paused reports whether an upstream told this host to send nothing now.
 	Paused(upstream *catalog.Upstream) bool
+	// Evacuated reports whether nothing more is to be sent to the upstreams of a data
+	// centre.
+	Evacuated(dataCenter string) bool
 }
 
 // Coordinator places models, sends orders to engines and answers host exchanges while this
@@ -241,12 +244,12 @@
 		present[upstream.ID] = true
 		engine := c.fleet[upstream.ID]
 		if engine == nil || engine.upstream.StartedMS != upstream.StartedMS {
-			c.fleet[upstream.ID] = newEngineState(upstream)
-			continue
-		}
-		if engine.upstream != upstream {
+			engine = newEngineState(upstream)
+			c.fleet[upstream.ID] = engine
+		} else if engine.upstream != upstream {
 			engine.applyEntry(upstream)
 		}
+		engine.setEvacuated(c.fleetState.Evacuated(upstream.DataCenter))
 	}
 	for id := range c.fleet {
 		if !present[id] {
@@ -278,6 +281,7 @@
 		Now: now, Service: service, Demand: c.demand.forService(now, service.Name),
 		StoreStarts: c.storeLoadBudget(now, service.Engine), Prefetch: true,
 	}
+	c.demandOfEvacuated(service.Name, input.Demand)
 	running := c.demand.running()
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	upstreams []*catalog.Upstream
+	evacuated map[string]bool // data centres
 }
 
 func (f *fakeFleetState) Config() *catalog.Config { return f.config }
@@ -43,6 +44,13 @@
 // Paused implements FleetState.
 func (f *fakeFleetState) Paused(*catalog.Upstream) bool { return false }
 
+// Evacuated implements FleetState.
+func (f *fakeFleetState) Evacuated(dataCenter string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated[dataCenter]
+}
+
 func (f *fakeFleetState) set(upstreams ...*catalog.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/coordinator/estimates.go
+++ b/internal/coordinator/estimates.go
@@ -58,7 +58,7 @@
 
 func (c *Coordinator) readyIn(now time.Duration, service, model string) (time.Duration, bool) {
 	for _, engine := range c.fleet {
-		if engine.upstream.Service != service || engine.cutOff() {
+		if engine.upstream.Service != service || engine.cutOff() || engine.evacuated {
 			continue
 		}
 		if engine.ready(model) {
@@ -73,7 +73,7 @@
 
 func (c *Coordinator) hasLocalCopy(service, model string) bool {
 	for _, engine := range c.fleet {
-		if engine.upstream.Service == service && !engine.upstream.Draining && !engine.cutOff() &&
+		if engine.upstream.Service == service && !engine.leaves() && !engine.cutOff() &&
 			(slices.Contains(engine.holdings.OnDisk, model) || slices.Contains(engine.holdings.InMemory, model)) {
 			return true
 		}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -36,6 +36,8 @@
 	unreachable bool
 	// paused reports that the engine told several hosts to send nothing for some time.
 	paused bool
+	// evacuated reports that nothing may be sent to the engine's data centre.
+	evacuated bool
 	// nextRecheck is the earliest time at which a new suspicion is followed up.
 	nextRecheck time.Duration
 	// unexpectedOrders counts the reports that showed orders which were executed although
@@ -154,7 +156,7 @@
 // plannerView returns the engine as input for the planner.
 func (e *engineState) plannerView(now time.Duration, running map[string]int) *Engine {
 	engine := &Engine{
-		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Draining: e.upstream.Draining, Unreachable: e.cutOff(),
+		ID: e.upstream.ID, DataCenter: e.upstream.DataCenter, Draining: e.leaves(), Unreachable: e.cutOff(),
 		Occupied: !e.settled() || e.occupied || e.paused || now < e.retryAt, Paused: e.paused, Holdings: e.holdings, Reserved: e.reserved(),
 		Running: running, LoadedAt: e.loadedAt,
 	}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -98,7 +98,7 @@
 	start := c.now()
 	clock.Sleep(ctx, action.LoadTime+reportLag)
 	limit := action.LoadTime*overdueFactor + time.Second
-	for ctx.Err() == nil && c.now()-start < limit {
+	for ctx.Err() == nil && c.now()-start < limit && !c.fleetState.Evacuated(engine.upstream.DataCenter) {
 		if c.refreshReport(ctx, engine) && c.holdsModel(engine, order.Model) {
 			c.log.Info("Order carried out.", "upstream", engine.upstream.ID, "model", order.Model,
 				"took_ms", (c.now() - start).Milliseconds())
@@ -106,6 +106,9 @@
 		}
 		clock.Sleep(ctx, reportPollInterval)
 	}
+	if c.fleetState.Evacuated(engine.upstream.DataCenter) {
+		return false
+	}
 	c.log.Info("Order overdue.", "upstream", engine.upstream.ID, "model", order.Model,
 		"after_ms", (c.now() - start).Milliseconds())
 	c.backOff(engine)
@@ -188,9 +191,9 @@
 		return OrderRejected, false // decided in an earlier term, or for an earlier incarnation
 	}
 	upstream := engine.upstream
-	if c.fleetState.Paused(upstream) {
+	if c.fleetState.Paused(upstream) || c.fleetState.Evacuated(upstream.DataCenter) {
 		c.mu.Unlock()
-		return OrderRejected, false // the engine wants nothing from this host now
+		return OrderRejected, false // the engine wants nothing from this host now, or its data centre is evacuated
 	}
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
 	c.mu.Unlock()
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -26,7 +26,7 @@
 		if c.activeReports >= maxConcurrentReports {
 			return // the rest is started by the next tick
 		}
-		if engine.settled() || engine.occupied || engine.reportInFlight || engine.upstream.Draining || now < engine.retryAt ||
+		if engine.settled() || engine.occupied || engine.reportInFlight || engine.leaves() || now < engine.retryAt ||
 			c.fleetState.Paused(engine.upstream) {
 			continue
 		}
@@ -65,6 +65,9 @@
 	c.mu.Lock()
 	upstream := engine.upstream
 	c.mu.Unlock()
+	if c.fleetState.Evacuated(upstream.DataCenter) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	holdings, err := c.engines.Report(ctx, upstream)
--- a/internal/ctl/operator_observe.go
+++ b/internal/ctl/operator_observe.go
@@ -11,11 +11,12 @@
 	"github.com/arbutusbank/arbutusbank/internal/operator"
 )
 
-// newOperatorCommands returns the commands that call the administration API.
+// newOperatorCommands returns the commands that observe and change running hosts.
 func newOperatorCommands() []*cobra.Command {
 	return []*cobra.Command{
 		newPatchCommand(), newHistoryCommand(), newShowCommand(), newDiffCommand(), newBlameCommand(),
 		newStatusCommand(), newKeyCommand(), newExplainCommand(), newDumpCommand(),
+		newEvacuationsCommand(),
 	}
 }
 
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -18,9 +18,11 @@
 
 // Candidates returns the upstreams of a service that have the model loaded; model is
 // "" for plain services. Upstreams that are shutting down, and those that want no requests
-// now, are left out.
+// now, are left out. Upstreams of an evacuated data centre are returned only while they are
+// in their last use and no other upstream has the model.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
 	now, paused := time.Now(), r.pauses()
+	leaving := r.evacuations.at(r.now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	local := map[string]int{}
@@ -28,9 +30,14 @@
 		local[key.upstream] += count
 	}
 	var candidates []Candidate
+	elsewhere := false // an upstream outside the evacuated data centres has the model
 	for id, entry := range r.entries {
 		adapters, ok := r.serves(entry, service, model, now)
-		if !ok || paused.of(entry) > 0 {
+		if !ok || leaving.closed(entry) {
+			continue
+		}
+		elsewhere = elsewhere || !leaving.affects(entry)
+		if paused.of(entry) > 0 {
 			continue
 		}
 		candidate := Candidate{
@@ -42,6 +49,9 @@
 		}
 		candidates = append(candidates, candidate)
 	}
+	if elsewhere {
+		candidates = leaving.remove(candidates)
+	}
 	return candidates
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -214,7 +214,7 @@
 	if !d.gateway.registry.BeginSend(to) {
 		d.withheld++
 		d.gateway.metrics.sendsWithheld.Inc()
-		d.gateway.log.Info("Send withheld; the upstream leaves or wants no requests.", "request", d.request.ID, "upstream", to.ID)
+		d.gateway.log.Info("Send withheld; the upstream leaves, wants no requests or is evacuated.", "request", d.request.ID, "upstream", to.ID)
 		return false
 	}
 	d.departure.countSend()
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -19,6 +19,8 @@
 // it was last confirmed. It is safe for concurrent use.
 type configuration struct {
 	decode DecodeConfig
+	// onRows receives the rows of each change before a new version is in force. Optional.
+	onRows func(rows []table.Row, full bool)
 	log    logr.Logger
 
 	current atomic.Pointer[catalog.Config]
@@ -26,7 +28,10 @@
 }
 
 // apply applies rows of the operator's table. Versions never go back.
-func (c *configuration) apply(rows []table.Row, _ bool) {
+func (c *configuration) apply(rows []table.Row, full bool) {
+	if c.onRows != nil {
+		c.onRows(rows, full)
+	}
 	var config *catalog.Config
 	err := confine.Call("decoding the configuration", func() (err error) {
 		config, err = c.decode(rows)
@@ -83,5 +88,8 @@
 	config *configuration
 }
 
+// Evacuated implements coordinator.FleetState.
+func (k fleetState) Evacuated(dataCenter string) bool { return k.evacuations.requested(dataCenter) }
+
 // Config implements coordinator.FleetState.
 func (k fleetState) Config() *catalog.Config { return k.config.current.Load() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,13 +47,16 @@
 	// DroppedLogLines returns the number of dropped log lines. Optional.
 	DroppedLogLines func() float64
 
-	Reader         table.Reader
-	Committer      table.Committer
-	ConfigTable    string
-	UpstreamTable  string
-	DecodeConfig   DecodeConfig
-	DecodeUpstream DecodeUpstream
-	Protocol       call.Protocol
+	Reader        table.Reader
+	Committer     table.Committer
+	ConfigTable   string
+	UpstreamTable string
+	DecodeConfig  DecodeConfig
+	// DecodeEvacuation finds evacuations among the rows of ConfigTable. Optional: without it
+	// no data centre is evacuated.
+	DecodeEvacuation DecodeEvacuation
+	DecodeUpstream   DecodeUpstream
+	Protocol         call.Protocol
 	// Engines returns the client of engines, which passes on what they say of themselves
 	// in their responses.
 	Engines func(onStatement func(*catalog.Upstream, call.Statement)) coordinator.Engines
@@ -95,6 +98,12 @@
 	}
 	g.config.replica.OnChange = g.config.apply
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
+	g.registry.evacuations.bound = s.Evacuation()
+	if options.DecodeEvacuation != nil {
+		g.config.onRows = func(rows []table.Row, full bool) {
+			g.registry.applyEvacuations(options.DecodeEvacuation, rows, full, g.config.replica.PreviouslyConfirmedAt())
+		}
+	}
 	g.elector = &lease.Elector{
 		Started: clock.SinceBoot(), Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
 		Terms: lease.Terms{
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -62,6 +62,8 @@
 	Quarantines []QuarantineDump `json:"quarantines"`
 	// Statements are what upstreams have said of themselves.
 	Statements []statement.Dump `json:"statements"`
+	// Evacuations are the data centers whose upstreams get nothing more.
+	Evacuations []EvacuationDump `json:"evacuations"`
 }
 
 // State returns the state dump.
@@ -72,6 +74,6 @@
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
-		Statements: g.registry.statements.Dump(clock.SinceBoot()),
+		Statements: g.registry.statements.Dump(clock.SinceBoot()), Evacuations: g.registry.evacuationDump(),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	statements      *prometheus.CounterVec
 	sendsWithheld   prometheus.Counter
 
+	evacuationRefusals prometheus.Counter
+
 	foreignResponses prometheus.Counter
 	lostRuns         prometheus.Counter
 }
@@ -53,7 +55,10 @@
 			Name: "gateway_upstream_statements_total", Help: "Responses in which an upstream said that it leaves (leaving) or wants no requests for some time (pause).",
 		}, []string{"kind"}),
 		sendsWithheld: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gateway_sends_withheld_total", Help: "Requests that were not sent to the chosen upstream because of such a statement.",
+			Name: "gateway_sends_withheld_total", Help: "Requests that were not sent to the chosen upstream because of such a statement or an evacuation.",
+		}),
+		evacuationRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_evacuation_refusals_total", Help: "Requests that were refused because all upstreams of their service are in evacuated data centers.",
 		}),
 		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gateway_foreign_responses_total", Help: "Responses of upstreams that belonged to another request and were skipped.",
@@ -66,6 +71,9 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses, m.lostRuns,
+		m.evacuationRefusals,
+		gauge("gateway_evacuated_data_centers", "Data centers whose evacuation is requested.", func() float64 { return float64(len(g.registry.evacuations.load())) }),
+		gauge("gateway_evacuated_requests", "Requests of this host that are in progress at upstreams of evacuated data centers.", g.registry.evacuatedRunning),
 		gauge("gateway_quarantined", "Requests and prompt segments that are refused because they crash upstreams.", g.exchanger.quarantine.count),
 		gauge("gateway_requests_in_flight", "Requests in progress.", func() float64 { return float64(g.inFlight.Load()) }),
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -51,7 +51,9 @@
 	// statements are what upstreams have said of themselves; they take precedence over
 	// the table.
 	statements *statement.Tracker
-	now        func() time.Duration // the boot clock, for statements
+	// evacuations are the data centres whose upstreams get nothing more.
+	evacuations evacuations
+	now         func() time.Duration // the boot clock, for statements and evacuations
 
 	mu            sync.Mutex
 	entries       map[string]*catalog.Upstream
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -36,8 +36,11 @@
 	KeyConfirmationMS float64 `json:"key_confirmation_ms"`
 	// HandoverMS is the time, in milliseconds, that a coordinator which regains the
 	// lease after another one waits before it sends orders.
-	HandoverMS float64       `json:"handover_ms"`
-	Retry      RetrySettings `json:"retry"`
+	HandoverMS float64 `json:"handover_ms"`
+	// EvacuationMS is the time, in milliseconds, from the request to evacuate a data centre
+	// until nothing more may be sent to its upstreams.
+	EvacuationMS float64       `json:"evacuation_ms"`
+	Retry        RetrySettings `json:"retry"`
 	// LogLevel is the logr verbosity: 0 logs decisions, 1 adds details.
 	LogLevel int `json:"log_level"`
 }
@@ -52,7 +55,7 @@
 // DefaultSettings returns the settings that apply where a file names none.
 func DefaultSettings() Settings {
 	return Settings{
-		ShutdownTimeoutS: 8, HandoverMS: 3000,
+		ShutdownTimeoutS: 8, HandoverMS: 3000, EvacuationMS: 5000,
 		Retry: RetrySettings{Ratio: 0.2, WindowS: 10, Slack: 20},
 	}
 }
@@ -121,6 +124,7 @@
 	}{
 		{"memory_mb", s.MemoryMB, 0}, {"shutdown_timeout_s", s.ShutdownTimeoutS, 1},
 		{"key_confirmation_ms", s.KeyConfirmationMS, 0}, {"handover_ms", s.HandoverMS, 0},
+		{"evacuation_ms", s.EvacuationMS, 0},
 		{"retry/window_s", s.Retry.WindowS, 0.1},
 	} {
 		if n.value < n.min {
@@ -159,6 +163,10 @@
 // it sends orders.
 func (s *Settings) Handover() time.Duration { return seconds(s.HandoverMS / 1000) }
 
+// Evacuation returns the time from the request to evacuate a data centre until nothing more
+// may be sent to its upstreams.
+func (s *Settings) Evacuation() time.Duration { return seconds(s.EvacuationMS / 1000) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // isLarge reports whether the host has the resources to work for other hosts, as the
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -72,6 +72,9 @@
 // BeginSend reports whether a request may be sent to an upstream now. It is called right
 // before the first byte.
 func (r *Registry) BeginSend(upstream *catalog.Upstream) bool {
+	if !r.beginEvacuated(upstream) {
+		return false
+	}
 	if r.statements.Empty() {
 		return true
 	}
@@ -110,10 +113,11 @@
 		return 0, false
 	}
 	now := time.Now()
+	leaving := r.evacuations.at(r.now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, entry := range r.entries {
-		if _, ok := r.serves(entry, service, model, now); !ok {
+		if _, ok := r.serves(entry, service, model, now); !ok || leaving.affects(entry) {
 			continue
 		}
 		if left := p.of(entry); left > 0 && (!paused || left < resumesIn) {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -39,6 +39,9 @@
 		if candidate != nil {
 			return candidate, nil
 		}
+		if refused := d.refuseEvacuated(); refused != nil {
+			return nil, refused
+		}
 		waited, refused := d.waitForPaused("")
 		if refused != nil {
 			return nil, refused
@@ -81,6 +84,9 @@
 		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
 		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
 		if len(candidates) == 0 {
+			if refused := d.refuseEvacuated(); refused != nil {
+				return nil, refused
+			}
 			waited, refused := d.waitForPaused(d.request.Model)
 			if refused != nil {
 				return nil, refused
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -91,7 +91,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: settings, Log: log, DroppedLogLines: func() float64 { return float64(sink.Dropped()) },
 		Reader: store, Committer: store, ConfigTable: platform.OperatorTable, UpstreamTable: platform.WorkerTable,
-		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream, Protocol: platform.Protocol{},
+		DecodeConfig: platform.DecodeConfig, DecodeEvacuation: platform.DecodeEvacuation, DecodeUpstream: platform.DecodeUpstream, Protocol: platform.Protocol{},
 		Engines: platform.NewWorkerClient, ReadyPath: platform.ReadyPath,
 	})
 	return g.Run(ctx)
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -49,6 +49,7 @@
 	droppedUpTo int64    // changes up to this revision have been dropped
 	revision    int64
 	confirmed   time.Duration // on the boot clock (clock.SinceBoot); 0: never
+	previous    time.Duration // confirmed before the change that OnChange receives
 }
 
 // change records that a row was written or deleted.
@@ -75,6 +76,10 @@
 	return r.confirmed
 }
 
+// PreviouslyConfirmedAt returns when the content before a change was last confirmed, on the
+// boot clock; 0: never. The change was written later. Only OnChange may call it.
+func (r *Replica) PreviouslyConfirmedAt() time.Duration { return r.previous }
+
 func (r *Replica) age(now time.Duration) time.Duration {
 	if r.confirmed == 0 {
 		return NeverConfirmed
@@ -185,6 +190,7 @@
 	}
 	r.loaded = true
 	r.revision = max(r.revision, page.Revision)
+	r.previous = r.confirmed
 	r.confirmed = max(r.confirmed, requestedAt)
 	if r.OnChange != nil && (full || len(changed) > 0) {
 		r.OnChange(changed, full)
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -170,7 +170,7 @@
 	h.Gateway = gateway.New(gateway.Options{
 		Settings: s, Log: testLogger().WithName(name), Reader: store, Committer: store,
 		ConfigTable: platform.OperatorTable, UpstreamTable: platform.WorkerTable,
-		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
+		DecodeConfig: platform.DecodeConfig, DecodeEvacuation: platform.DecodeEvacuation, DecodeUpstream: platform.DecodeUpstream,
 		Protocol: platform.Protocol{}, Engines: platform.NewWorkerClient, ReadyPath: platform.ReadyPath,
 		ListenCallers: f.gate.listen,
 	})
