--- a/tests/ci/known_red_test.go
+++ b/tests/ci/known_red_test.go
@@ -21,6 +21,7 @@
 	p := &project{t: t, directory: t.TempDir()}
 	p.copy("../../.ci/run", ".ci/run")
 	p.copy("../../.ci/known-red", ".ci/known-red")
+	p.copy("../../.ci/go-toolchain", ".ci/go-toolchain")
 	p.copy("../../Makefile", "Makefile")
 	p.write("go.mod", "module example\n\ngo 1.26\n")
 	p.write("KNOWN-RED.txt", knownRed)
