Limits of the requests to cold upstreams in the gateway

Cause: hosts sent to an upstream that had just started, or was cold again, as to any other; many hosts together send more than it tolerates.

Change: services carry the rate and the time, entries and responses how long an upstream stays cold. The registry keeps a tracker (internal/coldstart): a cold upstream without a grant is no candidate, and the grant is taken right before the send, and given back after a refusal as misdirected. If there is no other replica, the request waits as the queue of all hosts, its objective (0.4 s at least) and its deadline allow, or is refused at once with the time. The exchange carries coldness that was stated, needs, grants and seats. The planner gets the rate of cold engines. Upstreams count as cold after an evacuation. Nothing is kept, sent or looked up where no service has a rate.

The new unit tests pass with -race.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -68,6 +68,9 @@
 	// PauseFor is how long from the arrival of the response the upstream wants no requests
 	// from this host; 0: not stated.
 	PauseFor time.Duration
+	// ColdFor is how long from the arrival of the response the upstream stays cold; 0: not
+	// stated.
+	ColdFor time.Duration
 }
 
 // Protocol translates requests and responses of the users' protocol.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -53,8 +53,15 @@
 	Name           string
 	MaxConnections int     // per upstream, over all callers
 	Engine         *Engine // nil for a plain service
+	// ColdStart is how long an upstream is cold after its start. While it is cold it
+	// tolerates ColdPerS requests per second, over all hosts; 0: it is not limited.
+	ColdStart time.Duration
+	ColdPerS  float64
 }
 
+// LimitsCold reports whether requests to cold upstreams are limited.
+func (s *Service) LimitsCold() bool { return s != nil && s.ColdPerS > 0 }
+
 // Engine describes the upstreams of a service that run models.
 type Engine struct {
 	BatchSlots   int // requests that an engine runs at once
@@ -136,6 +143,16 @@
 	}
 }
 
+// LimitsCold reports whether any service limits requests to cold upstreams.
+func (c *Config) LimitsCold() bool {
+	for _, service := range c.Services {
+		if service.LimitsCold() {
+			return true
+		}
+	}
+	return false
+}
+
 // KeysRequired reports whether routes that are not open need a key.
 func (c *Config) KeysRequired() bool { return len(c.Workspaces) > 0 }
 
--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -12,8 +12,11 @@
 	Draining   bool
 	// DrainTimeLeft is the time until a draining upstream ends; 0: not announced.
 	DrainTimeLeft time.Duration
-	StartedMS     int64 // start, in Unix milliseconds; distinguishes incarnations of one ID
-	Holdings      Holdings
+	// ColdFor is how long the upstream stays cold, from when its entry was written; 0: it is
+	// not cold.
+	ColdFor   time.Duration
+	StartedMS int64 // start, in Unix milliseconds; distinguishes incarnations of one ID
+	Holdings  Holdings
 }
 
 // Holdings is the content of an engine. Upstream entries lack OrderSeq and Busy.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
@@ -79,6 +80,8 @@
 	estimates     []Estimate
 	poolHosts     []PoolHost
 	leaving       []Incarnation // upstreams that told a host that they leave
+	cold          []coldUntil   // upstreams that a host was told are cold
+	coldDivider   *coldstart.Divider
 	actions       sync.WaitGroup
 }
 
@@ -110,7 +113,8 @@
 	c.crashReports = newCrashReports(c.log)
 	c.estimates = nil
 	c.poolHosts = nil
-	c.leaving = nil
+	c.leaving, c.cold = nil, nil
+	c.coldDivider = coldstart.NewDivider(c.now(), first)
 }
 
 // Hosts returns the hosts that may spend from local shares.
@@ -131,6 +135,7 @@
 	defer c.mu.Unlock()
 	if request.Departed {
 		c.ledger.Remove(request.Host)
+		c.coldDivider.Depart(request.Host)
 		return &ExchangeReply{Holder: true, Epoch: epoch}
 	}
 	c.ledger.Observe(now, request.Host)
@@ -155,6 +160,7 @@
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
+	c.replyCold(now, config, request, reply)
 	return reply
 }
 
@@ -221,6 +227,7 @@
 	c.demand.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
+	c.cold = c.demand.cold()
 	c.notableLoads = c.demand.notableLoads(c.slots)
 	c.syncEngines(now, upstreams, config)
 	c.updateReachability()
@@ -286,6 +293,7 @@
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
 			input.Engines = append(input.Engines, engine.plannerView(now, running[engine.upstream.ID]))
+			input.Engines[len(input.Engines)-1].ColdPerS = c.coldRate(now, engine, service)
 		}
 	}
 	if _, ok := c.lease.MayOrder(orderDeliveryTime); ok {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -47,6 +47,7 @@
 	unreachable []string
 	paused      []string
 	leaving     []Incarnation
+	cold        []ColdUpstream
 }
 
 // demandTracker collects the demand that hosts report. It is not safe for concurrent use.
@@ -95,7 +96,7 @@
 	t.count(request.Running, 1)
 	t.hosts[request.Host] = hostReport{
 		at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable,
-		paused: request.Paused, leaving: request.Leaving,
+		paused: request.Paused, leaving: request.Leaving, cold: request.Cold,
 		poolHost: PoolHost{Address: request.Address, DataCenter: request.DataCenter}, large: request.Large,
 	}
 	for _, r := range request.Running {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -81,6 +81,12 @@
 	Leaving []Incarnation `json:"leaving,omitempty"`
 	// Paused are upstreams that told the host to send nothing for some time.
 	Paused []string `json:"paused,omitempty"`
+	// Cold are upstreams that told the host, or whose entries say, that they are cold.
+	Cold []ColdUpstream `json:"cold,omitempty"`
+	// ColdNeeds ask for grants to send to cold upstreams.
+	ColdNeeds []ColdNeed `json:"cold_needs,omitempty"`
+	// ColdSeat reports that the host may send to cold upstreams without grants.
+	ColdSeat bool `json:"cold_seat,omitempty"`
 	// Tables are the revisions of the host's table replicas, by table.
 	Tables map[string]int64 `json:"tables,omitempty"`
 	// Departed reports that the host has stopped: it spends nothing any more.
@@ -93,6 +99,30 @@
 	StartedMS int64  `json:"born"` // Unix ms; wire name: born
 }
 
+// ColdUpstream is an upstream that is cold.
+type ColdUpstream struct {
+	Incarnation
+	LeftMS int64 `json:"left_ms"`
+}
+
+// ColdNeed asks for grants to send to a cold upstream.
+type ColdNeed struct {
+	Incarnation
+	Service string `json:"service"`
+	Waiting int    `json:"waiting,omitempty"` // requests that wait for this upstream alone
+	Wanted  int    `json:"wanted,omitempty"`  // requests that could have used it
+}
+
+// ColdGrant permits a host to send requests to a cold upstream.
+type ColdGrant struct {
+	Incarnation
+	Requests int `json:"requests"`
+	// Queue is the number of requests that wait for the upstream at all hosts.
+	Queue int `json:"queue,omitempty"`
+	// PerS is the rate of grants over all hosts, in requests per second.
+	PerS float64 `json:"per_s"`
+}
+
 // Estimate is the expected time until a model is ready.
 type Estimate struct {
 	ModelKey
@@ -161,6 +191,13 @@
 	// Leaving are upstreams that told a host that they leave. Their entries may not say so
 	// yet.
 	Leaving []Incarnation `json:"withdrawn,omitempty"`
+	// Cold are upstreams of which a host was told that they are cold.
+	Cold []ColdUpstream `json:"cold,omitempty"`
+	// ColdGrants answer the needs of the host.
+	ColdGrants []ColdGrant `json:"cold_grants,omitempty"`
+	// ColdSeat permits the host to send to cold upstreams without grants, at a low rate, while
+	// it has no coordinator.
+	ColdSeat bool `json:"cold_seat,omitempty"`
 }
 
 // AdapterRequest asks the coordinator to load an adapter on an engine that holds its model.
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -81,8 +81,11 @@
 	// Unreachable engines get no orders and serve nothing now, but their copies are not lost.
 	Unreachable bool
 	Occupied    bool // an order is in progress or its outcome is unknown
-	Paused      bool // it told hosts to send nothing for some time, so it serves nothing
-	Holdings    catalog.Holdings
+	// ColdPerS is the rate that the engine tolerates while it is cold, in requests per second;
+	// 0: it is not cold.
+	ColdPerS float64
+	Paused   bool // it told hosts to send nothing for some time, so it serves nothing
+	Holdings catalog.Holdings
 	// Reserved are models whose load is in progress or may still be executed.
 	Reserved []string
 	Running  map[string]int           // by model, over all hosts
@@ -175,7 +178,7 @@
 		return need{}, false
 	}
 	load := p.targetConcurrency()
-	unserved := max(0, demand.Rate-targetReplicaRate*float64(ready), float64(demand.Running)/load-float64(ready))
+	unserved := max(0, demand.Rate-r.rate, float64(demand.Running)/load-float64(ready))
 	n := need{model: model, value: unservedWeight*unserved + waitingWeight*float64(demand.Waiting), waiting: demand.Waiting}
 	switch {
 	case ready == 0 && demand.Waiting > 0:
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -8,7 +8,10 @@
 
 // replicas counts the engines on which a model is ready, being loaded, or kept as a copy on
 // disk or in memory.
-type replicas struct{ ready, loading, copies int }
+type replicas struct {
+	ready, loading, copies int
+	rate                   float64 // requests per second that the ready ones should carry
+}
 
 var noReplicas replicas
 
@@ -41,12 +44,22 @@
 		for model := range engine.Holdings.Models {
 			if !engine.Paused && !slices.Contains(loading, model) {
 				of(model).ready++
+				of(model).rate += engine.targetRate()
 			}
 		}
 	}
 	return index
 }
 
+// targetRate returns the request rate, in requests per second, that a replica on the engine
+// should carry.
+func (e *Engine) targetRate() float64 {
+	if e.ColdPerS > 0 {
+		return min(targetReplicaRate, e.ColdPerS)
+	}
+	return targetReplicaRate
+}
+
 // copiesOf returns the models of which an engine has copies on disk or in memory.
 func copiesOf(h catalog.Holdings) []string {
 	if len(h.InMemory) == 0 {
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -14,12 +14,16 @@
 	HasAdapter  bool // the requested adapter is loaded
 	InBackoff   bool // its connection recently broke or could not be opened
 	FailureRate float64
+	// ColdFor is how long the upstream stays cold; 0: it is not. A candidate that is cold may
+	// get a request now.
+	ColdFor time.Duration
 }
 
 // Candidates returns the upstreams of a service that have the model loaded; model is
 // "" for plain services. Upstreams that are shutting down, and those that want no requests
 // now, are left out. Upstreams of an evacuated data centre are returned only while they are
-// in their last use and no other upstream has the model.
+// in their last use and no other upstream has the model. Cold upstreams that may get no request now
+// are left out, too.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
 	now, paused := time.Now(), r.pauses()
 	leaving := r.evacuations.at(r.now)
@@ -40,8 +44,13 @@
 		if paused.of(entry) > 0 {
 			continue
 		}
+		coldFor, blocked := r.cold.state(id)
+		if blocked {
+			r.cold.want(id)
+			continue
+		}
 		candidate := Candidate{
-			Upstream: entry, Load: local[id] + r.otherHosts[id],
+			Upstream: entry, ColdFor: coldFor, Load: local[id] + r.otherHosts[id],
 			HasAdapter: adapter == "" || (slices.Contains(adapters, adapter) && !r.isMissing(id, model, adapter, now)),
 		}
 		if h := r.health[id]; h != nil {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
@@ -48,9 +49,11 @@
 	// withheld counts the sends that were given up because of a statement that arrived
 	// after the upstream was chosen.
 	withheld int
-	relay    relay
-	upstream *catalog.Upstream // of the current run
-	runCtx   context.Context   // of the current run
+	// coldPermit is that of the current run, if its upstream is cold.
+	coldPermit coldstart.Permit
+	relay      relay
+	upstream   *catalog.Upstream // of the current run
+	runCtx     context.Context   // of the current run
 	// stopWatch ends the watch for a quarantine that cancels the current run.
 	stopWatch func()
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
@@ -211,10 +214,10 @@
 		d.withheld++ // the next send is refused with the reason
 		return false
 	}
-	if !d.gateway.registry.BeginSend(to) {
+	if !d.gateway.registry.BeginSend(to) || !d.takeCold(to) {
 		d.withheld++
 		d.gateway.metrics.sendsWithheld.Inc()
-		d.gateway.log.Info("Send withheld; the upstream leaves, wants no requests or is evacuated.", "request", d.request.ID, "upstream", to.ID)
+		d.gateway.log.Info("Send withheld; the upstream leaves, wants no requests, is evacuated or cold.", "request", d.request.ID, "upstream", to.ID)
 		return false
 	}
 	d.departure.countSend()
@@ -299,6 +302,9 @@
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
 	d.tried[id] = true
+	if d.gateway.protocol.Misdirected(response.Status) {
+		d.returnCold()
+	}
 	if d.gateway.protocol.Misdirected(response.Status) && d.isEngine() {
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
 	}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -162,6 +162,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, dataCenter := range ended {
+		r.expectCold(dataCenter)
+	}
 	r.notifyChanged()
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -155,6 +155,7 @@
 	e.applyTables(reply, requestedAt, now)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
+	e.registry.cold.applyReply(reply, requestedAt)
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
 	}
@@ -210,6 +211,9 @@
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
 	}
+	if config := e.config(); config != nil && config.LimitsCold() {
+		e.registry.fillCold(request)
+	}
 	if config := e.config(); config != nil {
 		request.Needs = e.balances.Needs(clock.SinceBoot(), config.Workspaces)
 	}
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -21,7 +21,9 @@
 	decode DecodeConfig
 	// onRows receives the rows of each change before a new version is in force. Optional.
 	onRows func(rows []table.Row, full bool)
-	log    logr.Logger
+	// onFirst is called when the first version is in force. Optional.
+	onFirst func()
+	log     logr.Logger
 
 	current atomic.Pointer[catalog.Config]
 	replica table.Replica
@@ -42,7 +44,10 @@
 		return
 	}
 	if config != nil && config.Version > c.version() {
-		c.current.Store(config)
+		previous := c.current.Swap(config)
+		if previous == nil && c.onFirst != nil {
+			c.onFirst()
+		}
 		c.log.Info("Configuration in force.", "version", config.Version, "services", len(config.Services),
 			"workspaces", len(config.Workspaces))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,14 @@
 		wake:       make(chan struct{}, 1),
 		replicas:   map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.registry.Replica},
 	}
+	g.registry.cold.configure(s.Host, func(name string) *catalog.Service {
+		config := g.config.current.Load()
+		if config == nil {
+			return nil
+		}
+		return config.Services[name]
+	}, g.exchanger.Reached)
+	g.config.onFirst = g.registry.reviewCold
 	g.exchanger.poolExchanger = newPoolExchanger(&g.settings, g.log, g.exchanger.balances, g.config.current.Load, &g.exchanger.client)
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 )
@@ -64,6 +65,8 @@
 	Statements []statement.Dump `json:"statements"`
 	// Evacuations are the data centers whose upstreams get nothing more.
 	Evacuations []EvacuationDump `json:"evacuations"`
+	// ColdUpstreams are the upstreams to which requests are limited.
+	ColdUpstreams []coldstart.Dump `json:"cold_upstreams"`
 }
 
 // State returns the state dump.
@@ -75,5 +78,6 @@
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
 		Statements: g.registry.statements.Dump(clock.SinceBoot()), Evacuations: g.registry.evacuationDump(),
+		ColdUpstreams: g.registry.cold.dump(),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	sendsWithheld   prometheus.Counter
 
 	evacuationRefusals prometheus.Counter
+	coldRefusals       prometheus.Counter
+	coldWithheld       prometheus.Counter
 
 	foreignResponses prometheus.Counter
 	lostRuns         prometheus.Counter
@@ -60,6 +62,12 @@
 		evacuationRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gateway_evacuation_refusals_total", Help: "Requests that were refused because all upstreams of their service are in evacuated data centers.",
 		}),
+		coldRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_cold_refusals_total", Help: "Requests that were refused because their upstreams are cold for longer than they can wait.",
+		}),
+		coldWithheld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gateway_cold_withheld_total", Help: "Requests that were not sent to the chosen upstream because it is cold and this host had no grant left.",
+		}),
 		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gateway_foreign_responses_total", Help: "Responses of upstreams that belonged to another request and were skipped.",
 		}),
@@ -71,7 +79,8 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses, m.lostRuns,
-		m.evacuationRefusals,
+		m.evacuationRefusals, m.coldRefusals, m.coldWithheld,
+		gauge("gateway_cold_upstreams", "Upstreams to which this host limits its requests because they are, or were just, cold.", func() float64 { return float64(len(g.registry.cold.dump())) }),
 		gauge("gateway_evacuated_data_centers", "Data centers whose evacuation is requested.", func() float64 { return float64(len(g.registry.evacuations.load())) }),
 		gauge("gateway_evacuated_requests", "Requests of this host that are in progress at upstreams of evacuated data centers.", g.registry.evacuatedRunning),
 		gauge("gateway_quarantined", "Requests and prompt segments that are refused because they crash upstreams.", g.exchanger.quarantine.count),
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -54,6 +54,8 @@
 	// evacuations are the data centres whose upstreams get nothing more.
 	evacuations evacuations
 	now         func() time.Duration // the boot clock, for statements and evacuations
+	// cold limits the requests to cold upstreams.
+	cold *coldUpstreams
 
 	mu            sync.Mutex
 	entries       map[string]*catalog.Upstream
@@ -81,6 +83,7 @@
 		missingModels: map[requestKey]time.Time{},
 		running:       map[requestKey]int{}, otherHosts: map[string]int{}, changed: make(chan struct{}),
 	}
+	r.cold = newColdUpstreams(func() time.Duration { return r.now() })
 	r.Replica.OnChange = r.Apply
 	r.Replica.Equivalent = r.equivalent
 	return r
@@ -102,9 +105,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := map[string]bool{}
+	first := full && len(r.entries) == 0 && len(r.lastStart) == 0
 	for _, row := range rows {
 		present[row.Key] = true
-		r.applyRow(row, now, full || len(rows) > maxLoggedRows)
+		r.applyRow(row, now, first, full || len(rows) > maxLoggedRows)
 	}
 	if full || len(rows) > maxLoggedRows {
 		r.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(r.entries), "full", full)
@@ -121,6 +125,7 @@
 
 // RemoveExpired removes the missing upstreams whose grace period has passed.
 func (r *Registry) RemoveExpired() {
+	r.cold.expire()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.removeExpiredLocked(time.Now()) {
@@ -148,7 +153,7 @@
 	return entry, err
 }
 
-func (r *Registry) applyRow(row table.Row, now time.Time, skipLog bool) {
+func (r *Registry) applyRow(row table.Row, now time.Time, first, skipLog bool) {
 	if row.Deleted {
 		r.remove(row.Key, now)
 		return
@@ -162,7 +167,9 @@
 		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "born", entry.StartedMS, "error", reason)
 		return
 	}
+	isNew := r.isNewIncarnation(entry)
 	r.recordStart(entry)
+	r.learnEntry(entry, isNew, first, skipLog)
 	delete(r.missing, row.Key)
 	entry.Draining = entry.Draining || r.statements.Leaving(statement.IncarnationOf(entry))
 	known := r.entries[row.Key]
@@ -196,6 +203,16 @@
 	return ""
 }
 
+// isNewIncarnation reports whether an entry is of an incarnation that this host did not know.
+func (r *Registry) isNewIncarnation(entry *catalog.Upstream) bool {
+	known := r.entries[entry.ID]
+	if known != nil {
+		return known.StartedMS != entry.StartedMS || known.Address != entry.Address
+	}
+	start, seen := r.lastStart[entry.ID]
+	return !seen || start != entry.StartedMS
+}
+
 // recordStart keeps the start of the newest incarnation of an upstream, also beyond its
 // removal.
 func (r *Registry) recordStart(entry *catalog.Upstream) {
@@ -231,6 +248,7 @@
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.health, id)
+	r.cold.forget(id)
 	r.onRemove(id)
 }
 
@@ -270,6 +288,7 @@
 // ApplyExchange applies the coordinator's view and the request counts of other hosts.
 func (r *Registry) ApplyExchange(reply *coordinator.ExchangeReply) {
 	r.applyLeaving(reply.Leaving)
+	r.applyCold(reply.Cold)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.otherHosts = map[string]int{}
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -26,6 +26,7 @@
 	if said == (call.Statement{}) && r.statements.Empty() {
 		return
 	}
+	r.learnStated(upstream, said.ColdFor)
 	of := statement.IncarnationOf(upstream)
 	leaves := r.statements.Record(r.now(), of, said)
 	if said.PauseFor > 0 {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -42,7 +42,10 @@
 		if refused := d.refuseEvacuated(); refused != nil {
 			return nil, refused
 		}
-		waited, refused := d.waitForPaused("")
+		waited, refused := d.waitForCold("")
+		if !waited && refused == nil {
+			waited, refused = d.waitForPaused("")
+		}
 		if refused != nil {
 			return nil, refused
 		}
@@ -87,7 +90,10 @@
 			if refused := d.refuseEvacuated(); refused != nil {
 				return nil, refused
 			}
-			waited, refused := d.waitForPaused(d.request.Model)
+			waited, refused := d.waitForCold(d.request.Model)
+			if !waited && refused == nil {
+				waited, refused = d.waitForPaused(d.request.Model)
+			}
 			if refused != nil {
 				return nil, refused
 			}
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -42,6 +42,9 @@
 	ledgers       []*platformtest.Worker
 	configVersion int
 	models        int // number of models in the configuration
+	// coldPerS is the rate that cold workers of the service "ledger" take, per second; 0: they
+	// are not limited.
+	coldPerS float64
 	// gate holds back what the hosts read from callers.
 	gate *gate
 	// loopback is the loopback IP of this fleet.
@@ -146,7 +149,7 @@
 			map[string]any{"name": "llm", "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "kvCapacity": 90000, "models": models, "weightsMb": 200000, "adapterSlots": 4, "loadsPerS": 6,
 			}},
-			map[string]any{"name": "ledger", "maxConns": 100},
+			map[string]any{"name": "ledger", "maxConns": 100, "coldStartS": 3, "coldPerS": f.coldPerS},
 		},
 		"limits": map[string]any{"bodyBytes": 4096},
 		"tenants": []any{map[string]any{
