Allowances: requests that wait come first; patience, wait and hint from the bucket

While one workspace asked for several times its rate, its allowance lay in parts of requests on 74 hosts. Every refused caller was told to come back after 1 s. Change: a need states the part for which requests wait and what the first of them lacks; the ledger serves waiting requests first, in whole requests, and states the wait until all of them are covered. A request waits for up to a quarter of its route's objective, 350 ms to 1.5 s, and is refused at once if the stated wait is longer. Retry-After is the stated wait, or the time in which the host's share covers what it has lately refused, 1 to 5 s. The access log states the time waited (grant_wait_ms).

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -100,7 +100,7 @@
 				continue
 			}
 			requested += requestCost
-			switch balances.Take(f.now, workspace, requestCost) {
+			switch balances.Take(f.now, workspace, requestCost, requestWait) {
 			case Taken:
 				taken += requestCost
 				f.spendings = append(f.spendings, spending{f.now, requestCost})
@@ -117,7 +117,7 @@
 func (f *simulatedFleet) retryWaiting(host int) (taken float64) {
 	var left []waitingRequest
 	for _, request := range f.waiting[host] {
-		outcome := f.balances[host].Take(f.now, workspace, requestCost)
+		outcome := f.balances[host].Take(f.now, workspace, requestCost, requestWait)
 		if outcome == Insufficient && f.now-request.since < requestWait {
 			left = append(left, request)
 			continue
@@ -283,7 +283,7 @@
 	balances := NewBalances()
 	balances.Apply(0, map[string]float64{"w": workspace.RatePerS / 2}, nil)
 	const elapsed = time.Second
-	balances.Take(elapsed, workspace, 0) // credits the local share
+	balances.Take(elapsed, workspace, 0, requestWait) // credits the local share
 	ledger.Observe(elapsed, "other")
 	grant := ledger.Exchange(elapsed, "other", workspace, Need{Requested: workspace.RatePerS})
 	balance := balances.Status(elapsed, workspace).Balance
@@ -346,14 +346,14 @@
 func TestRefundCanBeSpentAgain(t *testing.T) {
 	balances := NewBalances()
 	balances.Apply(time.Second, map[string]float64{"w": 0}, map[string]Grant{"w": {Amount: 100}})
-	if balances.Take(time.Second, workspace, 100) != Taken {
+	if balances.Take(time.Second, workspace, 100, requestWait) != Taken {
 		t.Fatal("Take refused a granted amount")
 	}
-	if balances.Take(time.Second, workspace, 100) == Taken {
+	if balances.Take(time.Second, workspace, 100, requestWait) == Taken {
 		t.Fatal("same amount taken twice")
 	}
 	balances.Refund(time.Second, workspace, 100)
-	if balances.Take(time.Second, workspace, 100) != Taken {
+	if balances.Take(time.Second, workspace, 100, requestWait) != Taken {
 		t.Error("refunded amount is not available")
 	}
 }
@@ -384,7 +384,7 @@
 	if needs := exchange(400 * time.Millisecond); needs != 0 {
 		t.Errorf("%d needs, want none without a request", needs)
 	}
-	if balances.Take(500*time.Millisecond, workspaces["w3"], 200) != Taken {
+	if balances.Take(500*time.Millisecond, workspaces["w3"], 200, requestWait) != Taken {
 		t.Error("balance of w3 is not available")
 	}
 	if needs := exchange(600 * time.Millisecond); needs != 1 {
@@ -394,3 +394,52 @@
 		t.Errorf("status of w7, which was left out of the exchange: %+v", status)
 	}
 }
+
+// Guards against refusals of a workspace within its rate after the whole fleet has restarted:
+// the bucket starts empty, and what 87 hosts ask for requests to come was more than the refill,
+// so that the requests which waited counted as over the allowance.
+func TestRestartedFleetServesWithinTheRate(t *testing.T) {
+	const hosts = 87
+	f := newSimulatedFleet(hosts)
+	f.ledger = NewLedger(f.now, false, nil)
+	rates := evenRates(hosts, 0.6*workspace.RatePerS)
+	f.run(400*time.Millisecond, rates)
+	requested, taken := f.run(3*time.Second, rates)
+	f.checkWindowBound(t)
+	if taken < 0.95*requested {
+		t.Errorf("%.0f of %.0f tokens served in the 3 s after the first exchanges", taken, requested)
+	}
+}
+
+// Guards against allowance that lies unused on 87 hosts, in parts that are smaller than a
+// request, while a workspace asks for several times its rate.
+func TestLargeFleetSpendsTheWholeRate(t *testing.T) {
+	const hosts = 87
+	f := newSimulatedFleet(hosts)
+	rates := evenRates(hosts, 6*workspace.RatePerS)
+	f.run(2*time.Second, rates)
+	_, taken := f.run(10*time.Second, rates)
+	f.checkWindowBound(t)
+	if minTaken := 0.95 * workspace.RatePerS * 10; taken < minTaken {
+		t.Errorf("%.0f tokens served in 10 s, want at least %.0f", taken, minTaken)
+	}
+}
+
+// A caller who is refused among few is told to come back after the wait that the coordinator
+// states; among many, after the time in which their requests could be served.
+func TestRetryHintFollowsRefusals(t *testing.T) {
+	balances := NewBalances()
+	balances.Apply(0, map[string]float64{"w": 1000}, map[string]Grant{"w": {Exhausted: true, WaitMS: 1700}})
+	if hint := balances.Refuse(0, workspace, requestCost); hint != 1700*time.Millisecond {
+		t.Errorf("hint %v, want the stated wait of 1.7 s", hint)
+	}
+	for range 10 {
+		balances.Refuse(0, workspace, requestCost)
+	}
+	if hint := balances.Refuse(0, workspace, requestCost); hint != maxRetryHint {
+		t.Errorf("hint %v after 11 refusals, want %v", hint, maxRetryHint)
+	}
+	if hint := balances.Refuse(time.Minute, workspace, requestCost); hint != 1700*time.Millisecond {
+		t.Errorf("hint %v a minute later, want 1.7 s", hint)
+	}
+}
--- a/internal/allowance/balances.go
+++ b/internal/allowance/balances.go
@@ -1,6 +1,8 @@
 package allowance
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,20 +30,30 @@
 	// maxShareBalanceSeconds limits the balance that a host accumulates from its local
 	// share, in seconds of that share.
 	maxShareBalanceSeconds = 1.0
+	// refusalTimeConstant is the time constant of the measured rate of refusals.
+	refusalTimeConstant = 2 * time.Second
+	// minRetryHint and maxRetryHint bound the time after which a refused caller is told to
+	// come back. Refusals are not paced below a second; a longer time than the upper bound
+	// would outlast most spells of high demand.
+	minRetryHint = time.Second
+	maxRetryHint = 5 * time.Second
 	// poolExchangeTTL is how long an exchange with a pool counts as contact.
 	poolExchangeTTL = 700 * time.Millisecond
 )
 
 type account struct {
 	balance            float64
-	pending            float64 // of requests that wait for a grant
+	pending            float64           // of requests that wait for a grant
+	queue              []*pendingRequest // these requests, the one that waits longest first
+	wait               time.Duration     // until the allowance covers the requests that wait, as the coordinator said
+	refused            float64           // units of recently refused requests, decaying with refusalTimeConstant
+	refusedAt          time.Duration
 	rate               float64 // measured spending in units per second
 	rateAt             time.Duration
 	share              float64       // local share in units per second
 	lastExchange       time.Duration // end of the last exchange with the coordinator
 	onShare            bool          // spending from the local share
 	shareCreditedUntil time.Duration // time up to which the share has been credited
-	exhausted          bool          // the coordinator or the pool reported exhaustion
 	lastPoolExchange   time.Duration // last exchange with a pool; 0: none
 	// shareCredited is the amount credited from the local share since the last exchange
 	// with the coordinator; shareReported is the part of it reported in the exchange in
@@ -49,6 +61,9 @@
 	shareCredited, shareReported float64
 }
 
+// pendingRequest is a request that waits for a grant.
+type pendingRequest struct{ cost float64 }
+
 // Balances holds a host's granted amounts by workspace. It is safe for concurrent use.
 type Balances struct {
 	mu       sync.Mutex
@@ -71,14 +86,15 @@
 	Exhausted            // the workspace is over its allowance
 )
 
-// Take spends cost from the workspace's balance if the balance covers it.
-func (b *Balances) Take(now time.Duration, w *catalog.Workspace, cost float64) Outcome {
+// Take spends cost from the workspace's balance if the balance covers it. It returns Exhausted
+// if a grant is not expected within patience.
+func (b *Balances) Take(now time.Duration, w *catalog.Workspace, cost float64, patience time.Duration) Outcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(w.Name, now)
 	b.creditShare(a, w, now)
 	if a.balance < cost {
-		if a.exhausted || (a.withoutPool(now) && a.pending > a.share*maxPendingShareSeconds) {
+		if a.wait > patience || (a.withoutPool(now) && a.pending > a.share*maxPendingShareSeconds) {
 			return Exhausted
 		}
 		return Insufficient
@@ -96,13 +112,30 @@
 	defer b.mu.Unlock()
 	a := b.account(w.Name, now)
 	a.pending += cost
+	request := &pendingRequest{cost: cost}
+	a.queue = append(a.queue, request)
 	return b.changed, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		a.pending = max(0, a.pending-cost)
+		a.queue = slices.DeleteFunc(a.queue, func(r *pendingRequest) bool { return r == request })
 	}
 }
 
+// Refuse records that a request was refused, and returns the time after which its caller
+// should come back: the wait that the coordinator has stated and, while many requests are
+// refused, the time that this host's share of the rate takes to cover them, since they would
+// come back together.
+func (b *Balances) Refuse(now time.Duration, w *catalog.Workspace, cost float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(w.Name, now)
+	a.refused = a.refused*math.Exp(-(now-a.refusedAt).Seconds()/refusalTimeConstant.Seconds()) + cost
+	a.refusedAt = now
+	hint := a.wait + waitFor(a.refused-cost, a.share)
+	return min(max(hint, minRetryHint), maxRetryHint)
+}
+
 // Status is the state of a workspace's account at this host.
 type Status struct {
 	Balance      float64       // units available
@@ -145,6 +178,8 @@
 		switch {
 		case a.balance < target:
 			need.Requested = target - a.balance
+			need.Pending = min(max(0, a.pending-a.balance), need.Requested)
+			need.First = a.firstPending()
 		case a.balance > 2*target:
 			need.Returned = a.balance - target
 			a.balance = target
@@ -189,7 +224,10 @@
 	for name, grant := range grants {
 		a := b.account(name, now)
 		a.balance += grant.Amount
-		a.exhausted, a.lastPoolExchange = grant.Exhausted && a.onShare, now
+		a.wait, a.lastPoolExchange = 0, now
+		if grant.Exhausted && a.onShare {
+			a.wait = maxWait
+		}
 	}
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -204,7 +242,7 @@
 		a, grant := b.account(name, now), grants[name]
 		a.balance += grant.Amount
 		a.share, a.lastExchange, a.onShare = share, now, false
-		a.exhausted = grant.Exhausted
+		a.wait = grant.wait()
 		a.shareCredited -= a.shareReported
 		a.shareReported = 0
 	}
@@ -219,7 +257,7 @@
 		return
 	}
 	if !a.onShare {
-		a.onShare, a.exhausted = true, false
+		a.onShare, a.wait = true, 0
 		a.shareCreditedUntil = a.lastExchange // the ledger grants nothing for this time
 	}
 	until := min(now, a.lastExchange+ShareValidity)
@@ -240,6 +278,14 @@
 	return a
 }
 
+// firstPending returns what the request that waits longest lacks.
+func (a *account) firstPending() float64 {
+	if len(a.queue) == 0 {
+		return 0
+	}
+	return max(0, a.queue[0].cost-a.balance)
+}
+
 // withoutPool reports whether the host spends from its local share and has no contact to a
 // pool.
 func (a *account) withoutPool(now time.Duration) bool {
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -27,12 +27,18 @@
 	// exhaustedSeconds is the deficit, in seconds of the refill, from which a workspace
 	// counts as over its allowance: a larger deficit is not refilled while a request waits.
 	exhaustedSeconds = 0.3
+	// maxWait bounds the wait that a grant states.
+	maxWait = 30 * time.Second
 )
 
 // Need is a host's request to the ledger or a pool for one workspace, in units.
 type Need struct {
-	Requested float64 `json:"want,omitempty"`     // wire name: want
-	Returned  float64 `json:"returned,omitempty"` // no longer needed by the host
+	Requested float64 `json:"want,omitempty"` // wire name: want
+	// Pending is the part of Requested for which requests wait; the rest is for requests to
+	// come. First is the part of Pending that the request waiting longest lacks.
+	Pending  float64 `json:"pending,omitempty"`
+	First    float64 `json:"first,omitempty"`
+	Returned float64 `json:"returned,omitempty"` // no longer needed by the host
 	// ShareCredited is the amount that the host has credited from its local share since the
 	// last exchange. Its wire name is paid.
 	ShareCredited float64 `json:"paid,omitempty"`
@@ -41,8 +47,19 @@
 // Grant is the reply to a Need.
 type Grant struct {
 	Amount float64 `json:"amount"` // units
-	// Exhausted reports that the hosts request more than the workspace's allowance.
+	// Exhausted reports that requests wait for more than the workspace's allowance.
 	Exhausted bool `json:"exhausted,omitempty"`
+	// WaitMS is the time, in milliseconds, until the allowance covers all requests that wait
+	// now; 0: it covers them.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// wait returns the stated wait. Coordinators of earlier versions state only Exhausted.
+func (g Grant) wait() time.Duration {
+	if g.Exhausted && g.WaitMS == 0 {
+		return maxWait
+	}
+	return time.Duration(g.WaitMS) * time.Millisecond
 }
 
 type bucket struct {
@@ -52,7 +69,8 @@
 	unmet      map[string]unmetRequest
 }
 
-// unmetRequest is the part of a host's last request that was not granted.
+// unmetRequest is the part of a host's last request that was not granted. The ledger counts
+// only what requests wait for.
 type unmetRequest struct {
 	amount float64
 	at     time.Duration
@@ -151,17 +169,35 @@
 	if !l.shareReserved[host] {
 		b.level -= need.ShareCredited // its silence was too short for its share to be reserved
 	}
-	total := need.Requested + unmetByOthers(b.unmet, now, host)
-	amount := need.Requested
-	insufficient := total > b.level
-	if insufficient && total > 0 {
-		amount = min(amount, b.level*need.Requested/total)
+	grant, unmet := divide(b.level, need, unmetByOthers(b.unmet, now, host))
+	b.level -= grant
+	b.unmet[host] = unmetRequest{amount: unmet, at: now}
+	deficit := unmet + unmetByOthers(b.unmet, now, host) - max(0, b.level)
+	return Grant{Amount: grant, Exhausted: deficit > refill*exhaustedSeconds, WaitMS: waitFor(deficit, refill).Milliseconds()}
+}
+
+// divide returns the amount that a host gets from a bucket, and the part of its pending
+// requests that remains unmet. Pending requests of all hosts come before amounts for requests
+// to come: in a large fleet those add up to most of the bucket while requests are refused. If
+// the bucket does not cover the pending requests, it is divided in proportion, but each host
+// gets whole requests: parts of requests on many hosts would serve none.
+func divide(level float64, need Need, pendingElsewhere float64) (grant, unmet float64) {
+	level = max(0, level)
+	pending := min(need.Pending, need.Requested)
+	served := pending
+	if total := pending + pendingElsewhere; total > level && total > 0 {
+		served = min(pending, level, max(level*pending/total, need.First))
+	}
+	reserve := min(need.Requested-pending, max(0, level-pending-pendingElsewhere))
+	return served + reserve, pending - served
+}
+
+// waitFor returns the time after which the refill (units per second) covers a deficit.
+func waitFor(deficit, refill float64) time.Duration {
+	if deficit <= 0 {
+		return 0
 	}
-	deficit := total - max(0, b.level)
-	amount = max(0, min(amount, b.level))
-	b.level -= amount
-	b.unmet[host] = unmetRequest{amount: need.Requested - amount, at: now}
-	return Grant{Amount: amount, Exhausted: deficit > refill*exhaustedSeconds}
+	return time.Duration(min(deficit/max(refill, 1), maxWait.Seconds()) * float64(time.Second))
 }
 
 // Shares returns, by workspace, the rate in units per second that each of the hosts may
--- a/internal/gateway/access_record.go
+++ b/internal/gateway/access_record.go
@@ -21,6 +21,7 @@
 	upstream   string
 	sends      int
 	firstEvent time.Duration // time to the first event; 0: none
+	grantWait  time.Duration // time that the request waited for its workspace's allowance
 	// adapterCalls counts the calls to load the request's adapter.
 	adapterCalls int
 }
@@ -47,7 +48,7 @@
 		fields = append(fields, "route", routeName, "config", in.config.Version, "deadline_ms", in.deadline.Sub(in.startedAt).Milliseconds())
 	}
 	if in.workspace != nil {
-		fields = append(fields, "workspace", in.workspace.Name, "cost", in.cost)
+		fields = append(fields, "workspace", in.workspace.Name, "cost", in.cost, "grant_wait_ms", in.record.grantWait.Milliseconds())
 	}
 	if in.record.adapterCalls > 0 {
 		fields = append(fields, "adapter_calls", in.record.adapterCalls)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// maxGrantWait bounds the time that a request waits for its workspace's
-	// allowance.
-	maxGrantWait = 350 * time.Millisecond
+	// minGrantWait is how long any request may wait for its workspace's allowance. A request
+	// whose objective is farther away waits for up to grantWaitRatio of it, at most
+	// maxGrantWait, so that it can still be answered within its objective.
+	minGrantWait   = 350 * time.Millisecond
+	maxGrantWait   = 1500 * time.Millisecond
+	grantWaitRatio = 0.25
 	// grantPollInterval is the interval between attempts to take the cost without a
 	// new exchange: the local share grows with time.
 	grantPollInterval = 60 * time.Millisecond
@@ -29,7 +32,7 @@
 	keyConfirmationMargin = 250 * time.Millisecond
 	// shortRetryAfter is the Retry-After for short-lived conditions.
 	shortRetryAfter = 400 * time.Millisecond
-	// limitedRetryAfter is the Retry-After for a workspace over its allowance.
+	// limitedRetryAfter is the Retry-After for a host over its retry budget.
 	limitedRetryAfter = time.Second
 	// staleRetryAfter is the Retry-After of a host with a missing or outdated
 	// configuration; other hosts may have a newer one.
@@ -227,18 +230,21 @@
 	in.departure.enter(stageAllowance)
 	in.cost = requestCost(in.workspace, in.request)
 	balances := in.gateway.exchanger.balances
-	until := time.Now().Add(min(maxGrantWait, time.Until(in.deadline)))
+	began, patience := time.Now(), min(in.grantWait(), time.Until(in.deadline))
+	until := began.Add(patience)
 	for {
 		now := clock.SinceBoot()
-		outcome := balances.Take(now, in.workspace, in.cost)
+		outcome := balances.Take(now, in.workspace, in.cost, patience)
 		if outcome == allowance.Taken {
 			in.charged = true
+			in.record.grantWait = time.Since(began)
 			return nil
 		}
 		left := time.Until(until)
 		if outcome == allowance.Exhausted || left <= 0 {
 			in.logAllowance(balances.Status(now, in.workspace), outcome)
-			return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: limitedRetryAfter}
+			retryAfter := balances.Refuse(now, in.workspace, in.cost)
+			return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: retryAfter}
 		}
 		changed, done := balances.AddPending(now, in.workspace, in.cost)
 		in.gateway.exchanger.exchangeSoon()
@@ -256,6 +262,11 @@
 	}
 }
 
+// grantWait returns how long the request may wait for its workspace's allowance.
+func (in *inbound) grantWait() time.Duration {
+	return max(minGrantWait, min(maxGrantWait, time.Duration(grantWaitRatio*float64(in.route.Objective))))
+}
+
 // logAllowance logs why a request exceeds its workspace's allowance.
 func (in *inbound) logAllowance(status allowance.Status, outcome allowance.Outcome) {
 	in.gateway.log.Info("Allowance used up.", "request", in.request.ID, "workspace", in.workspace.Name, "cost", in.cost,
--- a/internal/gateway/share_pool_test.go
+++ b/internal/gateway/share_pool_test.go
@@ -65,7 +65,7 @@
 			host.exchangeOnce(context.Background())
 		}
 	}
-	return last.Take(clock.SinceBoot(), poolWorkspace, poolCost) == allowance.Taken
+	return last.Take(clock.SinceBoot(), poolWorkspace, poolCost, minGrantWait) == allowance.Taken
 }
 
 // A request that costs more than one host's share is paid from the shares of all
@@ -108,7 +108,7 @@
 	host.balances.Apply(clock.SinceBoot(), map[string]float64{"w": poolShare}, map[string]allowance.Grant{"w": {Amount: poolCost}})
 	host.observePoolHosts([]coordinator.PoolHost{{Address: servePoolHost(t), DataCenter: "z1"}}, 6)
 	host.exchangeOnce(context.Background())
-	if host.balances.Take(clock.SinceBoot(), poolWorkspace, poolCost) != allowance.Taken {
+	if host.balances.Take(clock.SinceBoot(), poolWorkspace, poolCost, minGrantWait) != allowance.Taken {
 		t.Error("the balance was given to the pool")
 	}
 }
