--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -57,7 +57,7 @@
 		processes := make([]int, count)
 		coldFor := rapid.SampledFrom([]time.Duration{3, 300}).Draw(t, "cold for") * time.Second
 		start := func() *Tracker {
-			h := NewTracker(s.now, func(string) float64 { return 0 })
+			h := NewTracker(func(string) float64 { return 0 })
 			h.Learn(s.of(), s.now+coldFor, true)
 			return h
 		}
@@ -102,7 +102,7 @@
 			if r.incarnation == processes[r.host] {
 				s.hosts[r.host].AddGrant(s.now, r.requestedAt, r.grant)
 				if r.seat {
-					s.hosts[r.host].SetSeat(r.requestedAt + SeatLifetime)
+					s.hosts[r.host].SetSeat(s.now, r.requestedAt+SeatLifetime)
 				}
 			}
 		}
@@ -194,7 +194,7 @@
 		of := Incarnation{"u", 1}
 		var trackers []*Tracker
 		for range hosts {
-			h := NewTracker(now, func(string) float64 { return 0 })
+			h := NewTracker(func(string) float64 { return 0 })
 			h.Learn(of, now+time.Minute, true)
 			h.Wait("u")
 			trackers = append(trackers, h)
@@ -226,7 +226,7 @@
 	now := time.Hour
 	var trackers []*Tracker
 	for i := range hosts {
-		h := NewTracker(now, func(string) float64 { return float64(i) / hosts })
+		h := NewTracker(func(string) float64 { return float64(i) / hosts })
 		h.Learn(Incarnation{"u", 1}, now+3*time.Second, true)
 		trackers = append(trackers, h)
 	}
@@ -257,7 +257,7 @@
 // was said of an earlier incarnation to a later one.
 func TestLaterIncarnationAndLaterEndStay(t *testing.T) {
 	now := time.Hour
-	h := NewTracker(now, func(string) float64 { return 0 })
+	h := NewTracker(func(string) float64 { return 0 })
 	h.Learn(Incarnation{"u", 5}, now+3*time.Second, true)
 	h.Learn(Incarnation{"u", 5}, now+time.Second, true)
 	h.Learn(Incarnation{"u", 4}, now+time.Minute, true)
@@ -291,14 +291,16 @@
 	}
 }
 
-// Guards against a host that sends without a grant right before and right after a restart.
-func TestRestartedHostWaitsWithItsSeat(t *testing.T) {
+// Guards against a seat that is used twice within a second, by the host that had it and the one
+// that gets it, or by a host before and after a restart.
+func TestNewSeatIsNotUsedAtOnce(t *testing.T) {
 	now := time.Hour
-	h := NewTracker(now, func(string) float64 { return 0 })
+	h := NewTracker(func(string) float64 { return 0 })
 	h.Learn(Incarnation{"u", 1}, now+time.Minute, true)
-	h.SetSeat(now + SeatLifetime)
-	if _, ok := h.Take(now+900*time.Millisecond, "u", false); ok {
-		t.Error("sent 0.9 s after the start; the process before may have sent right before it")
+	h.SetSeat(now, now+SeatLifetime)
+	h.SetSeat(now+time.Second, now+time.Second+SeatLifetime)
+	if _, ok := h.Take(now+time.Second, "u", false); ok {
+		t.Error("sent 1 s after the seat was given")
 	}
 	if _, ok := h.Take(now+localInterval, "u", true); ok {
 		t.Error("sent without a grant although the coordinator answers")
--- a/internal/coldstart/tracker.go
+++ b/internal/coldstart/tracker.go
@@ -18,6 +18,8 @@
 	// maxTracked bounds the upstreams that are tracked; those that are cold for the shortest
 	// time are dropped.
 	maxTracked = 4096
+	// never is before any time on the boot clock.
+	never = -time.Hour
 )
 
 // token permits one request until it expires.
@@ -43,16 +45,18 @@
 // concurrent use.
 type Tracker struct {
 	// phase returns this host's moment of opening to an upstream, in [0, 1) of rampTime.
-	phase     func(id string) float64
-	createdAt time.Duration
+	phase func(id string) float64
+	// seatFrom is when a seat may be used first: another host, or this one before it
+	// restarted, may have used it until it was given to this host.
+	seatFrom  time.Duration
 	seatUntil time.Duration
 	upstreams map[string]*upstream // by ID
 }
 
-// NewTracker returns the tracker of a host that starts now. phase returns a number in [0, 1)
+// NewTracker returns the tracker of a host that starts. phase returns a number in [0, 1)
 // for an upstream that differs among hosts.
-func NewTracker(now time.Duration, phase func(id string) float64) *Tracker {
-	return &Tracker{phase: phase, createdAt: now, upstreams: map[string]*upstream{}}
+func NewTracker(phase func(id string) float64) *Tracker {
+	return &Tracker{phase: phase, upstreams: map[string]*upstream{}}
 }
 
 // Len returns the number of upstreams that are limited.
@@ -66,7 +70,7 @@
 	switch {
 	case u == nil:
 		t.evictIfFull()
-		u = &upstream{startedMS: of.StartedMS, lastLocal: t.createdAt, lastRamp: t.createdAt}
+		u = &upstream{startedMS: of.StartedMS, lastLocal: never, lastRamp: never}
 		t.upstreams[of.ID] = u
 	case of.StartedMS < u.startedMS:
 		return
@@ -126,7 +130,12 @@
 }
 
 // SetSeat records that the host may send without grants until a time.
-func (t *Tracker) SetSeat(until time.Duration) { t.seatUntil = max(t.seatUntil, until) }
+func (t *Tracker) SetSeat(now, until time.Duration) {
+	if !t.Seated(now) {
+		t.seatFrom = now + localInterval
+	}
+	t.seatUntil = max(t.seatUntil, until)
+}
 
 // Seated reports whether the host has a seat.
 func (t *Tracker) Seated(now time.Duration) bool { return now < t.seatUntil }
@@ -161,7 +170,7 @@
 }
 
 func (t *Tracker) mayUseSeat(now time.Duration, u *upstream, reached bool) bool {
-	return !reached && t.Seated(now) && now >= u.lastLocal+localInterval
+	return !reached && t.Seated(now) && now >= t.seatFrom && now >= u.lastLocal+localInterval
 }
 
 // Permit is the permission of one request.
@@ -200,6 +209,22 @@
 	u.tokens = append([]token{permit.granted}, u.tokens...)
 }
 
+// State is what limits an upstream at one moment.
+type State struct {
+	ColdFor time.Duration // 0: it is cold no longer, but traffic is still limited
+	Blocked bool          // no request may be sent now
+}
+
+// States returns the limited upstreams, by ID. reached reports whether the coordinator
+// answers this host.
+func (t *Tracker) States(now time.Duration, reached bool) map[string]State {
+	states := make(map[string]State, len(t.upstreams))
+	for id, u := range t.upstreams {
+		states[id] = State{ColdFor: max(0, u.until-now), Blocked: t.Blocked(now, id, reached)}
+	}
+	return states
+}
+
 // Want records that a request could have used an upstream.
 func (t *Tracker) Want(id string) {
 	if u := t.upstreams[id]; u != nil {
@@ -234,7 +259,7 @@
 	case reached:
 		return min(opensIn, GrantLifetime) // not asked yet
 	case t.Seated(now):
-		return min(opensIn, max(0, u.lastLocal+localInterval-now)+time.Duration(u.waiting)*localInterval)
+		return min(opensIn, max(0, u.lastLocal+localInterval-now, t.seatFrom-now)+time.Duration(u.waiting)*localInterval)
 	default:
 		return opensIn
 	}
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -26,7 +26,7 @@
 // are left out, too.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
 	now, paused := time.Now(), r.pauses()
-	leaving := r.evacuations.at(r.now)
+	leaving, cold := r.evacuations.at(r.now), r.cold.states()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	local := map[string]int{}
@@ -44,13 +44,12 @@
 		if paused.of(entry) > 0 {
 			continue
 		}
-		coldFor, blocked := r.cold.state(id)
-		if blocked {
+		if cold[id].Blocked {
 			r.cold.want(id)
 			continue
 		}
 		candidate := Candidate{
-			Upstream: entry, ColdFor: coldFor, Load: local[id] + r.otherHosts[id],
+			Upstream: entry, ColdFor: cold[id].ColdFor, Load: local[id] + r.otherHosts[id],
 			HasAdapter: adapter == "" || (slices.Contains(adapters, adapter) && !r.isMissing(id, model, adapter, now)),
 		}
 		if h := r.health[id]; h != nil {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -25,6 +25,10 @@
 	// whose entry shows a start that is at least this much longer ago than its cold period
 	// was not started just before this host.
 	startClockMargin = 10 * time.Second
+	// unreachableColdTime is how long an upstream counts as cold after it could not be reached:
+	// it may start again, or may have had no traffic. Its entry, written every 1.2 s, says more
+	// afterwards.
+	unreachableColdTime = 1500 * time.Millisecond
 	// coldExtension is by how much a new end of a cold period must exceed the known one to be
 	// logged.
 	coldExtension = 500 * time.Millisecond
@@ -51,7 +55,7 @@
 		now:     now,
 		service: func(string) *catalog.Service { return nil },
 		reached: func() bool { return false },
-		tracker: coldstart.NewTracker(now(), func(string) float64 { return 0 }), changed: make(chan struct{}),
+		tracker: coldstart.NewTracker(func(string) float64 { return 0 }), changed: make(chan struct{}),
 	}
 }
 
@@ -59,7 +63,7 @@
 // first entry.
 func (c *coldUpstreams) configure(host string, service func(string) *catalog.Service, reached func() bool) {
 	c.service, c.reached = service, reached
-	c.tracker = coldstart.NewTracker(c.now(), func(id string) float64 {
+	c.tracker = coldstart.NewTracker(func(id string) float64 {
 		return float64(rendezvous.Score(id, host)) / math.MaxUint64
 	})
 }
@@ -104,15 +108,15 @@
 	c.active.Store(c.tracker.Len() > 0)
 }
 
-// state returns how long an upstream stays cold, and whether it may get no request now.
-func (c *coldUpstreams) state(id string) (coldFor time.Duration, blocked bool) {
+// states returns the limited upstreams, by ID; nil: none.
+func (c *coldUpstreams) states() map[string]coldstart.State {
 	if !c.active.Load() {
-		return 0, false
+		return nil
 	}
 	now, reached := c.now(), c.reached()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.ColdFor(now, id), c.tracker.Blocked(now, id, reached)
+	return c.tracker.States(now, reached)
 }
 
 // want records that a request could have used an upstream that was blocked.
@@ -194,7 +198,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if reply.ColdSeat {
-		c.tracker.SetSeat(requestedAt + coldstart.SeatLifetime)
+		c.tracker.SetSeat(now, requestedAt+coldstart.SeatLifetime)
 	}
 	for _, grant := range reply.ColdGrants {
 		c.tracker.AddGrant(now, requestedAt, coldstart.Grant{
@@ -240,6 +244,16 @@
 	}
 }
 
+// learnUnreachable takes an upstream for cold that could not be reached.
+func (r *Registry) learnUnreachable(id string) {
+	r.mu.Lock()
+	entry := r.entries[id]
+	r.mu.Unlock()
+	if entry != nil {
+		r.cold.learn(entry, unreachableColdTime, false)
+	}
+}
+
 // applyCold records the upstreams that other hosts were told are cold.
 func (r *Registry) applyCold(cold []coordinator.ColdUpstream) {
 	for _, told := range cold {
@@ -278,7 +292,8 @@
 // coldServing returns the cold upstreams that could serve a request but may get none now.
 // Those that the request must not go to are left out.
 func (r *Registry) coldServing(service, model string, without map[string]bool) []string {
-	if !r.cold.active.Load() {
+	cold := r.cold.states()
+	if cold == nil {
 		return nil
 	}
 	now, paused := time.Now(), r.pauses()
@@ -290,7 +305,7 @@
 		if _, ok := r.serves(entry, service, model, now); !ok || leaving.closed(entry) || paused.of(entry) > 0 || without[id] {
 			continue
 		}
-		if _, blocked := r.cold.state(id); blocked {
+		if cold[id].Blocked {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -124,3 +124,22 @@
 		t.Errorf("candidates %v right after the evacuation, want s2", ids)
 	}
 }
+
+// Guards against full traffic to an upstream that could not be reached and is back: it may have
+// started again, which its entry says later.
+func TestUnreachableUpstreamIsExpectedToBeCold(t *testing.T) {
+	r, _, now, _ := newColdRegistry()
+	r.learnUnreachable("s1")
+	r.learnUnreachable("unknown")
+	if ids := r.candidateIDs(); ids["s1"] || !ids["s2"] {
+		t.Errorf("candidates %v, want s2", ids)
+	}
+	request := &coordinator.ExchangeRequest{}
+	if r.fillCold(request); len(request.Cold) != 0 {
+		t.Errorf("told others %v, which is a guess", request.Cold)
+	}
+	*now += 4 * time.Second
+	if !r.candidateIDs()["s1"] {
+		t.Error("limited although its entry does not say that it is cold")
+	}
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -256,6 +256,7 @@
 			return false, d.timedOut()
 		}
 		d.gateway.registry.RecordOutcome(id, OutcomeUnreachable)
+		d.gateway.registry.learnUnreachable(id)
 		d.log("No connection.", id, err)
 		return true, nil
 	}
