Evacuation: time until another engine has the model for adapter requests

Cause: a request for an adapter of a model that only evacuated engines hold was refused after three calls, with a Retry-After of 0.4 s, although the model was being loaded elsewhere.

Change: the coordinator answers with the estimated time until another engine has the model; the host waits, or refuses with that time.

Conclusion: the waits of adapters and models agree.

--- a/internal/coordinator/adapters.go
+++ b/internal/coordinator/adapters.go
@@ -27,8 +27,11 @@
 	if engine != nil {
 		busyFor = engine.busyFor(now)
 	}
+	replacedIn, evacuated := c.replacedIn(now, request.ModelKey)
 	c.mu.Unlock()
 	switch {
+	case engine == nil && evacuated:
+		return &AdapterReply{Reason: "the model's engines are evacuated", RetryInMS: int(replacedIn.Milliseconds())}
 	case engine == nil:
 		return &AdapterReply{Reason: "no engine with the model has a place"}
 	case loaded:
--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"time"
 )
 
 // minEvacuatedRate is the request rate, in requests per second, from which a model is needed
@@ -48,3 +49,29 @@
 		}
 	}
 }
+
+// replacedIn estimates the time until another engine has a model that evacuated engines hold.
+// evacuated is false if none of them does. The caller holds c.mu.
+func (c *Coordinator) replacedIn(now time.Duration, key ModelKey) (replacedIn time.Duration, evacuated bool) {
+	for _, engine := range c.fleet {
+		if engine.evacuated && engine.upstream.Service == key.Service && engine.holdings.Holds(key.Model) {
+			evacuated = true
+			break
+		}
+	}
+	if !evacuated {
+		return 0, false
+	}
+	service := c.fleetState.Config().Services[key.Service]
+	if service == nil || service.Engine == nil {
+		return 0, false // no longer configured
+	}
+	if readyIn, known := c.readyIn(now, key.Service, key.Model); known {
+		return max(readyIn, reportPollInterval), true
+	}
+	model := service.Engine.Models[key.Model]
+	if c.hasLocalCopy(key.Service, key.Model) {
+		return model.LoadDisk + swapOverhead, true
+	}
+	return model.Load + swapOverhead, true
+}
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -89,10 +89,15 @@
 	fleetState.mu.Unlock()
 	time.Sleep(10 * time.Millisecond) // a call that had begun
 	before := engines.callsOf("e1")
-	await("m0 on e2", e2Holds)
-	if reply := c.Adapter(ctx, &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: "a"}); reply.Upstream == "e1" {
-		t.Error("an adapter was loaded on an engine of the evacuated data centre")
+	await("evacuation in force", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.fleet["e1"].evacuated
+	})
+	if reply := c.Adapter(ctx, &AdapterRequest{ModelKey: ModelKey{"llm", "m0"}, Adapter: "a"}); reply.Upstream == "e1" || reply.RetryInMS <= 0 && reply.Upstream == "" {
+		t.Errorf("adapter of a model on an evacuated engine: %+v, want the time until another engine has the model", reply)
 	}
+	await("m0 on e2", e2Holds)
 	if after := engines.callsOf("e1"); after != before {
 		t.Errorf("%d calls to an engine of the evacuated data centre", after-before)
 	}
