Allowances: hosts ask for grants in a call of their own

Change: if the coordinator is in contact and has not stated a wait, the host asks for what its requests wait for in a call between exchanges (Allowance); the ledger grants from the same bucket, and nothing to a host that may be spending from its local share. A need also states a small amount for requests without a token count, which are served while larger ones wait. On an error the next exchange asks, as before. TestAllowanceOfWorkspace sent its requests one after the other and relied on slow grants: they now wait for the refill and do not exceed the allowance. It sends them at once, with the same bounds, and checks every refusal's Retry-After.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -443,3 +443,39 @@
 		t.Errorf("hint %v a minute later, want 1.7 s", hint)
 	}
 }
+
+// Guards against counting a request twice that an exchange and a call between exchanges both
+// ask for, and against grants to a host that may be spending from its local share.
+func TestCallsBetweenExchanges(t *testing.T) {
+	workspaces := map[string]*catalog.Workspace{"w": workspace}
+	balances, ledger := NewBalances(), NewLedger(0, true, nil)
+	const start = time.Second
+	ledger.Observe(start, "h")
+	balances.Apply(start, Shares(workspaces, 87), nil)
+	if balances.Take(start, workspace, requestCost, requestWait) != Insufficient {
+		t.Fatal("a host without a grant spends")
+	}
+	_, done := balances.AddPending(start, workspace, requestCost)
+	defer done()
+	needs := balances.PendingNeeds(start, workspaces)
+	if needs["w"].Requested != requestCost {
+		t.Fatalf("needs %+v, want the cost of the waiting request", needs)
+	}
+	if again := balances.PendingNeeds(start, workspaces); len(again) != 0 {
+		t.Errorf("a second call asks for %+v", again)
+	}
+	if exchanged := balances.Needs(start, workspaces)["w"]; exchanged.Pending != 0 {
+		t.Errorf("the exchange asks for %v, too", exchanged.Pending)
+	}
+	grant := ledger.ExchangePending(start, "h", workspace, needs["w"])
+	balances.EndCall(start, needs, map[string]Grant{"w": grant})
+	if balances.Take(start, workspace, requestCost, requestWait) != Taken {
+		t.Errorf("grant %+v does not cover the request", grant)
+	}
+	if late := ledger.ExchangePending(start+ContactTimeout, "h", workspace, needs["w"]); late.Amount != 0 {
+		t.Errorf("a silent host is granted %v", late.Amount)
+	}
+	if unknown := ledger.ExchangePending(start, "other", workspace, needs["w"]); unknown.Amount != 0 {
+		t.Errorf("an unknown host is granted %v", unknown.Amount)
+	}
+}
--- a/internal/allowance/balances.go
+++ b/internal/allowance/balances.go
@@ -45,6 +45,8 @@
 	balance            float64
 	pending            float64           // of requests that wait for a grant
 	queue              []*pendingRequest // these requests, the one that waits longest first
+	asked              float64           // of pending, asked for in a call in progress between exchanges
+	exchangeAsked      float64           // likewise in the last exchange
 	wait               time.Duration     // until the allowance covers the requests that wait, as the coordinator said
 	refused            float64           // units of recently refused requests, decaying with refusalTimeConstant
 	refusedAt          time.Duration
@@ -173,13 +175,18 @@
 		a := b.account(w.Name, now)
 		a.decay(now)
 		a.shareReported = a.shareCredited
-		target := min(max(a.rate*targetBalanceTime.Seconds(), a.share*minBalanceSeconds), a.share*maxBalanceSeconds) + a.pending
+		pending := max(0, a.pending-a.asked)
+		reserve := min(max(a.rate*targetBalanceTime.Seconds(), a.share*minBalanceSeconds), a.share*maxBalanceSeconds)
+		target := reserve + pending
 		need := Need{ShareCredited: a.shareCredited}
+		a.exchangeAsked = 0
 		switch {
 		case a.balance < target:
 			need.Requested = target - a.balance
-			need.Pending = min(max(0, a.pending-a.balance), need.Requested)
+			need.Pending = min(max(0, pending-a.balance), need.Requested)
 			need.First = a.firstPending()
+			need.Floor = min(max(0, min(w.PlainCost, reserve)-max(0, a.balance-pending)), need.Requested-need.Pending)
+			a.exchangeAsked = need.Pending
 		case a.balance > 2*target:
 			need.Returned = a.balance - target
 			a.balance = target
@@ -191,6 +198,57 @@
 	return needs
 }
 
+// CanCall reports whether a call between exchanges may bring a grant: the coordinator is in
+// contact and has not stated that requests wait for more than the allowance.
+func (b *Balances) CanCall(now time.Duration, w *catalog.Workspace) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account(w.Name, now).canCall(now)
+}
+
+func (a *account) canCall(now time.Duration) bool {
+	return a.lastExchange > 0 && now-a.lastExchange < shareStartDelay && !a.onShare && a.wait == 0
+}
+
+// PendingNeeds returns what requests wait for and neither the last exchange nor another call
+// has asked for. EndCall must follow.
+func (b *Balances) PendingNeeds(now time.Duration, workspaces map[string]*catalog.Workspace) map[string]Need {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	needs := map[string]Need{}
+	for name, a := range b.accounts {
+		if w := workspaces[name]; a.pending == 0 || w == nil || !a.canCall(now) {
+			continue
+		}
+		lacking := a.pending - a.balance - a.asked - a.exchangeAsked
+		if lacking <= 0 {
+			continue
+		}
+		a.asked += lacking
+		needs[name] = Need{Requested: lacking, Pending: lacking, First: a.firstPending()}
+	}
+	return needs
+}
+
+// EndCall applies the grants of a call for needs that PendingNeeds has returned. Grants are
+// nil if the call failed.
+func (b *Balances) EndCall(now time.Duration, needs map[string]Need, grants map[string]Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, need := range needs {
+		a := b.account(name, now)
+		a.asked = max(0, a.asked-need.Requested)
+		if grant, ok := grants[name]; ok {
+			a.balance += grant.Amount
+			a.wait = grant.wait()
+		}
+	}
+	if len(grants) > 0 {
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+}
+
 // PoolNeeds returns, for the accounts that spend from their local share, the amounts to
 // request from a pool and to return to it, and deducts the latter.
 func (b *Balances) PoolNeeds(now time.Duration, workspaces map[string]*catalog.Workspace) map[string]Need {
@@ -241,6 +299,7 @@
 	for name, share := range shares {
 		a, grant := b.account(name, now), grants[name]
 		a.balance += grant.Amount
+		a.exchangeAsked = 0
 		a.share, a.lastExchange, a.onShare = share, now, false
 		a.wait = grant.wait()
 		a.shareCredited -= a.shareReported
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -27,6 +27,9 @@
 	// exhaustedSeconds is the deficit, in seconds of the refill, from which a workspace
 	// counts as over its allowance: a larger deficit is not refilled while a request waits.
 	exhaustedSeconds = 0.3
+	// floorFraction is the part of a bucket that one grant may give for small requests to
+	// come.
+	floorFraction = 0.25
 	// maxWait bounds the wait that a grant states.
 	maxWait = 30 * time.Second
 )
@@ -36,8 +39,11 @@
 	Requested float64 `json:"want,omitempty"` // wire name: want
 	// Pending is the part of Requested for which requests wait; the rest is for requests to
 	// come. First is the part of Pending that the request waiting longest lacks.
-	Pending  float64 `json:"pending,omitempty"`
-	First    float64 `json:"first,omitempty"`
+	Pending float64 `json:"pending,omitempty"`
+	First   float64 `json:"first,omitempty"`
+	// Floor is the part of Requested for small requests to come: they are served also while
+	// others wait for more than the allowance.
+	Floor    float64 `json:"floor,omitempty"`
 	Returned float64 `json:"returned,omitempty"` // no longer needed by the host
 	// ShareCredited is the amount that the host has credited from its local share since the
 	// last exchange. Its wire name is paid.
@@ -176,6 +182,17 @@
 	return Grant{Amount: grant, Exhausted: deficit > refill*exhaustedSeconds, WaitMS: waitFor(deficit, refill).Milliseconds()}
 }
 
+// ExchangePending grants to a host whose requests wait, between its exchanges. A host that may
+// be spending from its local share gets nothing: its need must come with an exchange.
+func (l *Ledger) ExchangePending(now time.Duration, host string, w *catalog.Workspace, need Need) Grant {
+	at, known := l.lastExchange[host]
+	if !known || l.silent[host] || now-at >= ContactTimeout {
+		return Grant{}
+	}
+	need.ShareCredited, need.Returned = 0, 0
+	return l.Exchange(now, host, w, need)
+}
+
 // divide returns the amount that a host gets from a bucket, and the part of its pending
 // requests that remains unmet. Pending requests of all hosts come before amounts for requests
 // to come: in a large fleet those add up to most of the bucket while requests are refused. If
@@ -184,12 +201,14 @@
 func divide(level float64, need Need, pendingElsewhere float64) (grant, unmet float64) {
 	level = max(0, level)
 	pending := min(need.Pending, need.Requested)
+	floor := min(need.Floor, need.Requested-pending, level*floorFraction)
+	level -= floor
 	served := pending
 	if total := pending + pendingElsewhere; total > level && total > 0 {
 		served = min(pending, level, max(level*pending/total, need.First))
 	}
-	reserve := min(need.Requested-pending, max(0, level-pending-pendingElsewhere))
-	return served + reserve, pending - served
+	reserve := min(need.Requested-pending-floor, max(0, level-pending-pendingElsewhere))
+	return floor + served + reserve, pending - served
 }
 
 // waitFor returns the time after which the refill (units per second) covers a deficit.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -167,6 +167,26 @@
 	return 0
 }
 
+// Allowance grants to a host between its exchanges.
+func (c *Coordinator) Allowance(request *AllowanceRequest) *AllowanceReply {
+	if !c.lease.Held() {
+		return &AllowanceReply{}
+	}
+	config, now := c.fleetState.Config(), c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &AllowanceReply{Holder: true, Grants: map[string]allowance.Grant{}}
+	for name, need := range request.Needs {
+		if config == nil {
+			break
+		}
+		if workspace := config.Workspaces[name]; workspace != nil && workspace.Limited() {
+			reply.Grants[name] = c.ledger.ExchangePending(now, request.Host, workspace, need)
+		}
+	}
+	return reply
+}
+
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
 	grants := map[string]allowance.Grant{}
 	for name, need := range request.Needs {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -121,6 +121,20 @@
 	DataCenter string `json:"data_center"`
 }
 
+// AllowanceRequest asks the coordinator, between exchanges, for what requests at a host wait.
+type AllowanceRequest struct {
+	Host  string                    `json:"host"`
+	Needs map[string]allowance.Need `json:"needs"` // by workspace
+}
+
+// AllowanceReply is the reply to an AllowanceRequest.
+type AllowanceReply struct {
+	// Holder reports whether the called host holds the lease. If it does not, there are no
+	// grants.
+	Holder bool                       `json:"holder"`
+	Grants map[string]allowance.Grant `json:"grants,omitempty"` // by workspace
+}
+
 // PoolRequest is the request to a pool host from a host without contact to the coordinator.
 type PoolRequest struct {
 	Host  string                    `json:"host"`
--- a/internal/coordinator/rpc.go
+++ b/internal/coordinator/rpc.go
@@ -16,9 +16,10 @@
 
 // RPC method names. The pool method keeps its older wire name.
 const (
-	exchangeCall = "/coordinator/Exchange"
-	adapterCall  = "/coordinator/Adapter"
-	poolCall     = "/coordinator/Pot"
+	exchangeCall  = "/coordinator/Exchange"
+	adapterCall   = "/coordinator/Adapter"
+	allowanceCall = "/coordinator/Allowance"
+	poolCall      = "/coordinator/Pot"
 )
 
 // dialTimeout limits the time to connect to another host.
@@ -34,6 +35,7 @@
 type Service interface {
 	Exchange(ctx context.Context, request *ExchangeRequest) *ExchangeReply
 	Adapter(ctx context.Context, request *AdapterRequest) *AdapterReply
+	Allowance(ctx context.Context, request *AllowanceRequest) *AllowanceReply
 	Pool(ctx context.Context, request *PoolRequest) *PoolReply
 }
 
@@ -46,6 +48,8 @@
 		return answer(stream, h.service.Exchange)
 	case adapterCall:
 		return answer(stream, h.service.Adapter)
+	case allowanceCall:
+		return answer(stream, h.service.Allowance)
 	case poolCall:
 		return answer(stream, h.service.Pool)
 	default:
@@ -71,7 +75,7 @@
 // their own, which is replaced when the address changes. A failed call returns a CallError.
 // It is safe for concurrent use.
 type Client struct {
-	exchange, adapter, pool peerConn
+	exchange, adapter, allowance, pool peerConn
 }
 
 // peerConn is a connection to another host. A failed call closes it.
@@ -105,6 +109,12 @@
 	return &reply, c.adapter.invoke(ctx, address, adapterCall, request, &reply)
 }
 
+// Allowance calls the coordinator at address, an IP:port.
+func (c *Client) Allowance(ctx context.Context, address string, request *AllowanceRequest) (*AllowanceReply, error) {
+	var reply AllowanceReply
+	return &reply, c.allowance.invoke(ctx, address, allowanceCall, request, &reply)
+}
+
 // Pool calls the pool host at address, an IP:port.
 func (c *Client) Pool(ctx context.Context, address string, request *PoolRequest) (*PoolReply, error) {
 	var reply PoolReply
--- a/internal/coordinator/rpc_test.go
+++ b/internal/coordinator/rpc_test.go
@@ -21,6 +21,10 @@
 
 func (panickingService) Adapter(context.Context, *AdapterRequest) *AdapterReply { panic("adapter") }
 
+func (panickingService) Allowance(context.Context, *AllowanceRequest) *AllowanceReply {
+	return &AllowanceReply{}
+}
+
 func (panickingService) Pool(context.Context, *PoolRequest) *PoolReply { return &PoolReply{} }
 
 // servePeers serves a service and returns its address.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,6 +71,8 @@
 	relayedAt    atomic.Int64 // end of the last exchange that confirmed all replicas, on the boot clock
 	hostCount    atomic.Int64
 	adapterCalls adapterCallGroup
+
+	allowanceWake chan struct{} // requests wait for a grant
 }
 
 // Reached reports whether the coordinator responded within reachedTimeout.
@@ -249,6 +251,11 @@
 	return e.coordinator.Adapter(ctx, request)
 }
 
+// Allowance implements coordinator.Service.
+func (e *exchanger) Allowance(_ context.Context, request *coordinator.AllowanceRequest) *coordinator.AllowanceReply {
+	return e.coordinator.Allowance(request)
+}
+
 // Pool implements coordinator.Service.
 func (e *exchanger) Pool(_ context.Context, request *coordinator.PoolRequest) *coordinator.PoolReply {
 	return e.poolExchanger.settle(request)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,8 @@
 		settings: &g.settings, log: options.Log, elector: g.elector, coordinator: g.coordinator, config: g.config.current.Load,
 		registry: g.registry, demand: newDemandTracker(), balances: allowance.NewBalances(), retryBudget: NewRetryBudget(s.retryLimits()),
 		quarantine: newRequestQuarantine(),
-		wake:       make(chan struct{}, 1),
-		replicas:   map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.registry.Replica},
+		wake:       make(chan struct{}, 1), allowanceWake: make(chan struct{}, 1),
+		replicas: map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.registry.Replica},
 	}
 	g.exchanger.poolExchanger = newPoolExchanger(&g.settings, g.log, g.exchanger.balances, g.config.current.Load, &g.exchanger.client)
 	g.elector.Hosts = g.coordinator.Hosts
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -247,7 +247,7 @@
 			return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: retryAfter}
 		}
 		changed, done := balances.AddPending(now, in.workspace, in.cost)
-		in.gateway.exchanger.exchangeSoon()
+		in.gateway.exchanger.grantSoon(in.workspace)
 		timer := time.NewTimer(min(left, grantPollInterval))
 		select {
 		case <-changed:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -153,6 +153,7 @@
 	group.Go(func() { upstreamFollower.Run(ctx) })
 	group.Go(func() { g.elector.Run(ctx) })
 	group.Go(func() { g.exchanger.run(ctx) })
+	group.Go(func() { g.exchanger.runAllowanceCalls(ctx) })
 	group.Go(func() { g.exchanger.poolExchanger.run(ctx) })
 	group.Go(func() { g.coordinator.Run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
--- a/tests/gateway/path_test.go
+++ b/tests/gateway/path_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/arbutusbank/arbutusbank/platform/platformtest"
 )
 
@@ -193,22 +196,30 @@
 	}
 }
 
+// Guards against a workspace that runs more than its allowance. The requests come at once: one
+// after the other they would wait for the refill, and none would exceed the allowance.
 func TestAllowanceOfWorkspace(t *testing.T) {
 	f := newTestFleet(t, 2)
-	limited := 0
+	var limited, unhinted atomic.Int32
+	var group conc.WaitGroup
 	for i := range 12 {
-		got := f.sendModelRequest(i%2, "/chat/1", "big", "m1", "Token-Count", "9000,1000")
-		if got.status == http.StatusTooManyRequests {
-			limited++
-			if got.header.Get("Retry-After") == "" {
-				t.Error("no Retry-After")
+		group.Go(func() {
+			got := f.sendModelRequest(i%2, "/chat/1", fmt.Sprintf("big%d", i), "m1", "Token-Count", "9000,1000")
+			if got.status == http.StatusTooManyRequests {
+				limited.Add(1)
+				if got.header.Get("Retry-After") == "" {
+					unhinted.Add(1)
+				}
 			}
-		}
+		})
+	}
+	group.Wait()
+	// The bucket holds four requests, one second of the rate, and refills while some wait.
+	if n := limited.Load(); n < 3 || n > 9 {
+		t.Errorf("%d of 12 requests limited", n)
 	}
-	// The bucket holds four requests, one second of the rate, and refills while the
-	// requests run.
-	if limited < 3 || limited > 9 {
-		t.Errorf("%d of 12 requests limited", limited)
+	if n := unhinted.Load(); n > 0 {
+		t.Errorf("%d refusals without Retry-After", n)
 	}
 }
 
