Orders and retries: late orders of an earlier process, slack of an unknown fleet

Cause (found by reading): a host that never had a coordinator counted itself as the whole fleet for the retry budget. Change: without a known size of the fleet there is no slack, only the ratio.

--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -26,7 +26,7 @@
 	limits RetryLimits
 
 	mu       sync.Mutex
-	hosts    int
+	hosts    int // 0: not known
 	services map[string]*budgetWindow
 }
 
@@ -36,9 +36,10 @@
 	retries  [budgetBins]float64
 }
 
-// NewRetryBudget returns a budget for a fleet of one host.
+// NewRetryBudget returns a budget without a part of the slack: a host that no coordinator has
+// told the size of the fleet would take the slack of all hosts.
 func NewRetryBudget(limits RetryLimits) *RetryBudget {
-	return &RetryBudget{limits: limits, hosts: 1, services: map[string]*budgetWindow{}}
+	return &RetryBudget{limits: limits, services: map[string]*budgetWindow{}}
 }
 
 // SetHosts sets the number of hosts that share the slack.
@@ -66,7 +67,11 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	if retries+1 > budgetFraction*(b.limits.Ratio*requests+b.limits.Slack/float64(b.hosts)) {
+	slack := 0.0
+	if b.hosts > 0 {
+		slack = b.limits.Slack / float64(b.hosts)
+	}
+	if retries+1 > budgetFraction*(b.limits.Ratio*requests+slack) {
 		return false
 	}
 	w.retries[w.bin%budgetBins]++
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -54,3 +54,28 @@
 		t.Errorf("only %d retries allowed", len(retries))
 	}
 }
+
+// Guards against a fleet that starts without a coordinator and whose hosts each take the
+// slack of the whole fleet.
+func TestNoSlackBeforeTheFleetIsKnown(t *testing.T) {
+	limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}
+	now := time.Now()
+	b := NewRetryBudget(limits)
+	if b.Allow(now, "s") {
+		t.Error("a retry without requests and without a known fleet is allowed")
+	}
+	for range 100 {
+		b.RecordRequest(now, "s")
+	}
+	if !b.Allow(now, "s") {
+		t.Error("a retry within the ratio is refused")
+	}
+	b.SetHosts(8)
+	allowed := 0
+	for b.Allow(now, "other") {
+		allowed++
+	}
+	if most := int(limits.Slack / 8); allowed == 0 || allowed > most {
+		t.Errorf("%d retries allowed from the slack, want 1 to %d", allowed, most)
+	}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -104,7 +104,8 @@
 }
 
 // OrdersFrom returns the time from which a host that has just acquired the lease may send
-// orders. By then the orders of the previous holder have arrived: it may have renewed right
+// orders. By then the orders of the previous holder, also of an earlier process on this host,
+// have arrived: it may have renewed right
 // before it was last observed, and stops when that renewal expires.
 func (t Terms) OrdersFrom(last Observation, host string, now time.Duration) time.Duration {
 	wait := t.MaxOrderDelay
@@ -112,8 +113,12 @@
 		wait = max(wait, t.ReacquireDelay)
 	}
 	switch {
-	case last.Revision == 0, last.Record.Holder == host && last.Record.Active:
+	case last.Revision == 0:
 		return now
+	case last.Record.Holder == host && last.Record.Active:
+		// The process before may have ended right after an order, which has a lower fencing
+		// token than the first order of this one.
+		return now + t.MaxOrderDelay
 	case last.Record.Released:
 		return last.Since + wait + t.SafetyMargin
 	default:
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -56,7 +56,11 @@
 			Observation{Revision: 7, Record: Record{Holder: "b", Former: former, Released: true}, Since: now},
 			true, now + 3250*time.Millisecond,
 		},
-		{"an earlier process of this host", Observation{Revision: 7, Record: Record{Holder: "a", Active: true}, Since: now}, true, now},
+		{
+			// Its last order may still be on its way (KNOWN-RED, ONE of scale-1, seed 8037).
+			"an earlier process of this host", Observation{Revision: 7, Record: Record{Holder: "a", Active: true}, Since: now},
+			true, now + 600*time.Millisecond,
+		},
 		{
 			"an earlier process that still waited itself", Observation{Revision: 7, Record: Record{Holder: "a"}, Since: now},
 			true, now + 2850*time.Millisecond,
