Routing: policy expected

Cause: the choices of policy affinity assume load reports of each engine, which gateway hosts don't read; and one host's choice by the shortest expected time makes all hosts with the same old figures choose the same upstream. Change: policy expected: time from pace, load, slots, prefill and KV memory; the better one of two candidates that are below the level to which the requests that other hosts have probably sent would raise the fastest ones. Policies affinity and random are unchanged. Conclusion: `arbutusbank serve` is served as before.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -15,9 +15,11 @@
 type Policy string
 
 // Policies. Random is the baseline in experiments: any candidate in the same data
-// centre, or in another one if there is none.
+// centre, or in another one if there is none. Expected is that of gateway hosts, see
+// ExpectedParams and docs/design/upstream-selection.md.
 const (
 	Affinity Policy = "affinity"
+	Expected Policy = "expected"
 	Random   Policy = "random"
 )
 
@@ -53,6 +55,12 @@
 	Adapter      bool     // the request needs an adapter
 	PrefixHashes []uint64 // from function PrefixHashes
 	Tried        []string // addresses that must not be chosen again
+
+	// The following apply to policy Expected.
+	ServiceTime time.Duration // usual time for which a request takes a slot; 0: unknown
+	AnswerTime  time.Duration // usual time to the answer, or its first event, without other requests
+	Tokens      int           // KV memory that the request takes
+	Arrivals    float64       // requests that other hosts are expected to have sent to the candidates since their counts
 }
 
 // Candidate is an upstream that serves the model.
@@ -68,6 +76,13 @@
 	PrefixBlocks  int // leading blocks of the prompt expected in the cache
 	Leaving       bool
 	Suspect       bool // recently unreachable or silent
+
+	// The following apply to policy Expected.
+	Pace         float64       // times relative to the usual; 0: unknown
+	ExtraTime    time.Duration // time at usual pace that this candidate takes beyond Request.AnswerTime
+	Penalty      float64       // further cost, in requests in progress
+	Tokens       int           // KV memory that running requests take, over all hosts
+	MemoryTokens int           // KV memory; 0: unknown
 }
 
 // Choose applies DefaultParams.Choose.
@@ -81,6 +96,9 @@
 	if p.Policy == Random {
 		return chooseRandom(r, candidates, random)
 	}
+	if p.Policy == Expected {
+		return p.chooseExpected(&r, candidates, random)
+	}
 	best, bestScore := -1, time.Duration(0)
 	for i := range candidates {
 		if excluded(&r, &candidates[i]) {
