Gateway: choice of upstreams by expected time, pace shared between hosts

Cause: selection by counts of requests. 87 hosts that see the same counts for 400 ms all choose the upstream that was idle in the last report, engines differ in speed by a factor of 2.7, and the constant gain for a cached prompt prefix filled its engine while others were idle. Running requests carry tokens, own and other hosts', and an engine without room in its KV memory is avoided. Pace samples and shared paces pass in the exchange (paces, paces_full, pace_version, tokens; all optional).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 )
 
 const (
@@ -70,6 +71,7 @@
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
 	crashReports  *crashReports
+	paces         *pace.Collector
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
 	storeStarts   []time.Duration
@@ -105,6 +107,7 @@
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
 	c.crashReports = newCrashReports(c.log)
+	c.paces = pace.NewCollector()
 	c.estimates = nil
 	c.poolHosts = nil
 	c.leaving = nil
@@ -133,6 +136,7 @@
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
+	c.recordPaces(now, request)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
 			engine.suspected = true
@@ -152,16 +156,24 @@
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
+	c.sharePaces(now, request.Epoch == epoch, request.PaceVersion, reply)
 	return reply
 }
 
-// slots returns the number of concurrent requests of an engine, or 0 for a plain service,
-// which is not part of the fleet and has few slots.
-func (c *Coordinator) slots(upstream string) int {
-	if engine := c.fleet[upstream]; engine != nil {
-		return engine.upstream.Slots
+// capacities returns a function that returns the number of concurrent requests of an engine
+// and its KV memory in tokens, or 0 for a plain service, which is not part of the fleet and has
+// few slots.
+func (c *Coordinator) capacities(config *catalog.Config) func(upstream string) (slots, memoryTokens int) {
+	return func(upstream string) (slots, memoryTokens int) {
+		engine := c.fleet[upstream]
+		if engine == nil {
+			return 0, 0
+		}
+		if service := config.Services[engine.upstream.Service]; service != nil && service.Engine != nil {
+			memoryTokens = service.Engine.MemoryTokens
+		}
+		return engine.upstream.Slots, memoryTokens
 	}
-	return 0
 }
 
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
@@ -218,7 +230,8 @@
 	c.demand.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
-	c.notableLoads = c.demand.notableLoads(c.slots)
+	c.notableLoads = c.demand.notableLoads(c.capacities(config))
+	c.paces.Refresh(now)
 	c.syncEngines(now, upstreams, config)
 	c.updateReachability()
 	c.startReports(ctx, now)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -455,8 +455,8 @@
 	}
 	tracker.record(0, &ExchangeRequest{Host: "h1", Running: counts(1, 2, 9)})
 	tracker.record(0, &ExchangeRequest{Host: "h2", Running: counts(1, 1, 1)})
-	slots := func(id string) int { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id] }
-	reported := tracker.excludeHost("h2", tracker.notableLoads(slots))
+	capacity := func(id string) (int, int) { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id], 0 }
+	reported := tracker.excludeHost("h2", tracker.notableLoads(capacity))
 	slices.SortFunc(reported, func(a, b RunningCount) int { return strings.Compare(a.Upstream, b.Upstream) })
 	if want := []RunningCount{{Upstream: "e1", Count: 2}, {Upstream: "e2", Count: 9}}; !slices.Equal(reported, want) {
 		t.Errorf("reported %+v, want %+v", reported, want)
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -55,8 +55,10 @@
 	hosts map[string]hostReport
 	// atUpstream, atModel and atAdapter count the running requests of all hosts.
 	atUpstream map[string]int
-	atModel    map[upstreamModel]int
-	atAdapter  map[upstreamModel]int // with the model as MODEL/ADAPTER
+	// tokensAt counts the tokens of the running requests of all hosts.
+	tokensAt  map[string]int
+	atModel   map[upstreamModel]int
+	atAdapter map[upstreamModel]int // with the model as MODEL/ADAPTER
 	// adapterRequestedAt is the time at which an adapter was last requested or running, by
 	// MODEL/ADAPTER. Model names are unique across services.
 	adapterRequestedAt map[string]time.Duration
@@ -67,7 +69,7 @@
 func newDemandTracker() *demandTracker {
 	return &demandTracker{
 		rates: map[ModelKey]*modelRate{}, hosts: map[string]hostReport{},
-		atUpstream: map[string]int{}, atModel: map[upstreamModel]int{}, atAdapter: map[upstreamModel]int{},
+		atUpstream: map[string]int{}, tokensAt: map[string]int{}, atModel: map[upstreamModel]int{}, atAdapter: map[upstreamModel]int{},
 		adapterRequestedAt: map[string]time.Duration{},
 	}
 }
@@ -76,6 +78,7 @@
 func (t *demandTracker) count(running []RunningCount, sign int) {
 	for _, r := range running {
 		addTo(t.atUpstream, r.Upstream, sign*r.Count)
+		addTo(t.tokensAt, r.Upstream, sign*r.Tokens)
 		addTo(t.atModel, upstreamModel{r.Upstream, r.Model}, sign*r.Count)
 		if r.Adapter != "" {
 			addTo(t.atAdapter, upstreamModel{r.Upstream, r.Model + "/" + r.Adapter}, sign*r.Count)
@@ -214,13 +217,15 @@
 }
 
 // notableLoads returns the upstreams whose running requests take a notable part of the
-// batch, so that hosts should prefer other upstreams. slots returns the batch size of an
-// upstream.
-func (t *demandTracker) notableLoads(slots func(upstream string) int) []RunningCount {
+// batch or of the KV memory, so that hosts should prefer other upstreams. capacity returns the
+// batch size of an upstream and its KV memory in tokens, 0 if it has none.
+func (t *demandTracker) notableLoads(capacity func(upstream string) (slots, memoryTokens int)) []RunningCount {
 	var counts []RunningCount
 	for upstream, count := range t.atUpstream {
-		if count > slots(upstream)/notableLoadDivisor {
-			counts = append(counts, RunningCount{Upstream: upstream, Count: count})
+		slots, memory := capacity(upstream)
+		tokens := t.tokensAt[upstream]
+		if count > slots/notableLoadDivisor || memory > 0 && tokens > memory/notableLoadDivisor {
+			counts = append(counts, RunningCount{Upstream: upstream, Count: count, Tokens: tokens})
 		}
 	}
 	return counts
@@ -228,14 +233,16 @@
 
 // excludeHost returns counts without the given host's own requests.
 func (t *demandTracker) excludeHost(host string, counts []RunningCount) []RunningCount {
-	own := map[string]int{}
+	own := map[string]RunningCount{}
 	for _, r := range t.hosts[host].running {
-		own[r.Upstream] += r.Count
+		sum := own[r.Upstream]
+		own[r.Upstream] = RunningCount{Count: sum.Count + r.Count, Tokens: sum.Tokens + r.Tokens}
 	}
 	var remaining []RunningCount
 	for _, r := range counts {
-		if count := r.Count - own[r.Upstream]; count > 0 {
-			remaining = append(remaining, RunningCount{Upstream: r.Upstream, Count: count})
+		if count := r.Count - own[r.Upstream].Count; count > 0 {
+			tokens := max(0, r.Tokens-own[r.Upstream].Tokens)
+			remaining = append(remaining, RunningCount{Upstream: r.Upstream, Count: count, Tokens: tokens})
 		}
 	}
 	return remaining
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -35,6 +35,22 @@
 	Model    string `json:"model,omitempty"`
 	Adapter  string `json:"adapter,omitempty"`
 	Count    int    `json:"count"`
+	// Tokens are the prompt tokens and maximum output tokens of these requests.
+	Tokens int `json:"tokens,omitempty"`
+}
+
+// PaceSample is what a host has measured of the pace of an upstream since its last exchange.
+type PaceSample struct {
+	Incarnation
+	Ratio  float64 `json:"ratio"`  // measured times relative to the usual ones of the service
+	Weight float64 `json:"weight"` // number of measured times
+}
+
+// SharedPace is the pace of an upstream by the samples of all hosts.
+type SharedPace struct {
+	Incarnation
+	Ratio  float64 `json:"ratio"`            // 1 withdraws what was shared before
+	Weight float64 `json:"weight,omitempty"` // number of samples that it relies on
 }
 
 // LostRun is a run that ended with the connection to its upstream.
@@ -83,6 +99,12 @@
 	Paused []string `json:"paused,omitempty"`
 	// Tables are the revisions of the host's table replicas, by table.
 	Tables map[string]int64 `json:"tables,omitempty"`
+	// Paces are new samples of upstreams that are notably faster or slower than usual, or
+	// shared as such.
+	Paces []PaceSample `json:"paces,omitempty"`
+	// PaceVersion is the version of the shared paces that the host has, of the coordinator of
+	// Epoch; 0: none.
+	PaceVersion int64 `json:"pace_version,omitempty"`
 	// Departed reports that the host has stopped: it spends nothing any more.
 	Departed bool `json:"departed,omitempty"`
 }
@@ -161,6 +183,12 @@
 	// Leaving are upstreams that told a host that they leave. Their entries may not say so
 	// yet.
 	Leaving []Incarnation `json:"withdrawn,omitempty"`
+	// Paces are the shared paces that changed after the host's version, or all notable ones if
+	// PacesFull is set.
+	Paces     []SharedPace `json:"paces,omitempty"`
+	PacesFull bool         `json:"paces_full,omitempty"`
+	// PaceVersion is the version of the shared paces; 0: the coordinator shares none.
+	PaceVersion int64 `json:"pace_version,omitempty"`
 }
 
 // AdapterRequest asks the coordinator to load an adapter on an engine that holds its model.
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -5,43 +5,58 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 )
 
 // Candidate is an upstream that can serve a request.
 type Candidate struct {
 	Upstream    *catalog.Upstream
 	Load        int  // requests in progress there, over all hosts
+	Own         int  // part of Load: requests of this host
+	Tokens      int  // KV memory that the requests in progress may take, over all hosts
 	HasAdapter  bool // the requested adapter is loaded
 	InBackoff   bool // its connection recently broke or could not be opened
 	FailureRate float64
+	Pace        float64 // its times relative to the usual ones of its service
+	*Situation
+}
+
+// Situation is what all candidates of a choice have in common.
+type Situation struct {
+	Usual pace.Times // usual times of the service
+	// OthersAge is the age of the counts of other hosts' requests.
+	OthersAge time.Duration
 }
 
 // Candidates returns the upstreams of a service that have the model loaded; model is
 // "" for plain services. Upstreams that are shutting down, and those that want no requests
 // now, are left out.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
-	now, paused := time.Now(), r.pauses()
+	now, sinceBoot, paused := time.Now(), r.now(), r.pauses()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	local := map[string]int{}
-	for key, count := range r.running {
-		local[key.upstream] += count
-	}
-	var candidates []Candidate
+	situation := &Situation{Usual: r.paces.Times(service), OthersAge: r.othersAge(sinceBoot)}
+	candidates := make([]Candidate, 0, r.candidateCount)
 	for id, entry := range r.entries {
 		adapters, ok := r.serves(entry, service, model, now)
 		if !ok || paused.of(entry) > 0 {
 			continue
 		}
 		candidate := Candidate{
-			Upstream: entry, Load: local[id] + r.otherHosts[id],
+			Upstream: entry, Pace: r.paces.Factor(sinceBoot, incarnationOf(entry)),
+			Situation:  situation,
 			HasAdapter: adapter == "" || (slices.Contains(adapters, adapter) && !r.isMissing(id, model, adapter, now)),
 		}
+		if load := r.loads[id]; load != nil {
+			candidate.Own, candidate.Load = load.own.count, load.own.count+load.others.count
+			candidate.Tokens = load.own.tokens + load.others.tokens
+		}
 		if h := r.health[id]; h != nil {
 			candidate.InBackoff, candidate.FailureRate = now.Before(h.backoffUntil), h.failureRate
 		}
 		candidates = append(candidates, candidate)
 	}
+	r.candidateCount = len(candidates)
 	return candidates
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -50,7 +51,11 @@
 	withheld int
 	relay    relay
 	upstream *catalog.Upstream // of the current run
-	runCtx   context.Context   // of the current run
+	// candidate is the choice of upstream, run the measurement of its pace; nil before the
+	// send.
+	candidate *Candidate
+	run       *pace.Run
+	runCtx    context.Context // of the current run
 	// stopWatch ends the watch for a quarantine that cancels the current run.
 	stopWatch func()
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
@@ -131,8 +136,10 @@
 	id := candidate.Upstream.ID
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
-	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter)
+	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter, d.request.PromptTokens+d.request.OutputTokens)
 	defer release()
+	d.candidate, d.run = candidate, nil
+	defer func() { d.gateway.registry.EndRun(d.run, false) }()
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
 	d.runCtx, d.stopWatch = ctx, d.gateway.exchanger.quarantine.watch(d.keys, cancel)
@@ -218,6 +225,8 @@
 		return false
 	}
 	d.departure.countSend()
+	d.gateway.registry.EndRun(d.run, false)
+	d.run = d.gateway.registry.BeginRun(d.candidate, d.request.PromptTokens)
 	d.sentAt, d.outputAt, d.survived = time.Now(), time.Time{}, false
 	return true
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -49,6 +49,11 @@
 	return end
 }
 
+// eventCount returns the number of complete events.
+func eventCount(events []byte) int {
+	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
+}
+
 // lastEventID returns the ID of the last event that has one, otherwise previous.
 func lastEventID(events []byte, previous string) string {
 	for line := range strings.Lines(string(events)) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -199,6 +199,7 @@
 
 func (e *exchanger) newRequest(report quarantineReport) *coordinator.ExchangeRequest {
 	epoch, version := e.registry.ViewVersion()
+	paces, paceVersion := e.registry.takePaces()
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Address: e.settings.PeerListen, Large: e.settings.isLarge(),
 		Epoch: epoch, ViewVersion: version,
@@ -206,6 +207,7 @@
 		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Tables: map[string]int64{},
 		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
+		Paces: paces, PaceVersion: paceVersion,
 	}
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -53,20 +54,26 @@
 	statements *statement.Tracker
 	now        func() time.Duration // the boot clock, for statements
 
-	mu            sync.Mutex
-	entries       map[string]*catalog.Upstream
-	lastStart     map[string]int64     // start of the newest known incarnation, Unix ms, by ID
-	missing       map[string]time.Time // time until which a missing entry is kept, by ID
-	lastOutage    time.Time            // last failed call of an outage in which entries can expire
-	engines       map[string]coordinator.EngineView
-	viewEpoch     int64
-	viewVersion   int64
-	health        map[string]*health
-	running       map[requestKey]int
-	otherHosts    map[string]int // requests of other hosts, by upstream
-	missingModels map[requestKey]time.Time
-	changed       chan struct{}
-	snapshot      []*catalog.Upstream // nil: outdated
+	mu          sync.Mutex
+	entries     map[string]*catalog.Upstream
+	lastStart   map[string]int64     // start of the newest known incarnation, Unix ms, by ID
+	missing     map[string]time.Time // time until which a missing entry is kept, by ID
+	lastOutage  time.Time            // last failed call of an outage in which entries can expire
+	engines     map[string]coordinator.EngineView
+	viewEpoch   int64
+	viewVersion int64
+	health      map[string]*health
+	running     map[requestKey]runningLoad
+	loads       map[string]*upstreamLoad // by upstream
+	othersAt    time.Duration            // when the loads by other hosts were applied, on the boot clock
+	paces       *pace.Tracker
+	// candidateCount is the number of candidates of the last choice, about that of the next.
+	candidateCount int
+	pacesVersion   int64         // of the shared paces
+	pacesAt        time.Duration // when the coordinator confirmed them, on the boot clock
+	missingModels  map[requestKey]time.Time
+	changed        chan struct{}
+	snapshot       []*catalog.Upstream // nil: outdated
 }
 
 // NewRegistry returns an empty registry. It calls onRemove when an incarnation of an
@@ -77,7 +84,8 @@
 		entries: map[string]*catalog.Upstream{}, lastStart: map[string]int64{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
 		missingModels: map[requestKey]time.Time{},
-		running:       map[requestKey]int{}, otherHosts: map[string]int{}, changed: make(chan struct{}),
+		running:       map[requestKey]runningLoad{}, loads: map[string]*upstreamLoad{}, paces: pace.NewTracker(),
+		changed: make(chan struct{}),
 	}
 	r.Replica.OnChange = r.Apply
 	r.Replica.Equivalent = r.equivalent
@@ -229,6 +237,7 @@
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.health, id)
+	r.paces.Forget(id)
 	r.onRemove(id)
 }
 
@@ -270,10 +279,8 @@
 	r.applyLeaving(reply.Leaving)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.otherHosts = map[string]int{}
-	for _, running := range reply.Running {
-		r.otherHosts[running.Upstream] += running.Count
-	}
+	r.applyRunning(reply.Running)
+	r.applyPaces(reply)
 	if reply.View == nil {
 		return
 	}
@@ -297,33 +304,6 @@
 	return r.viewEpoch, r.viewVersion
 }
 
-// RunningCounts returns the number of this host's requests at each upstream.
-func (r *Registry) RunningCounts() []coordinator.RunningCount {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	counts := make([]coordinator.RunningCount, 0, len(r.running))
-	for key, count := range r.running {
-		counts = append(counts, coordinator.RunningCount{Upstream: key.upstream, Model: key.model, Adapter: key.adapter, Count: count})
-	}
-	return counts
-}
-
-// TrackRequest counts a request at an upstream until release is called.
-func (r *Registry) TrackRequest(id, model, adapter string) (release func()) {
-	key := requestKey{id, model, adapter}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running[key]++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.running[key]--
-		if r.running[key] == 0 {
-			delete(r.running, key)
-		}
-	}
-}
-
 // RecordAdapter records an adapter that the coordinator has just loaded, also on an
 // engine that its view leaves out because it is as its entry says.
 func (r *Registry) RecordAdapter(id, model, adapter string) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,6 +71,7 @@
 // that the upstream has not crashed.
 func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
+	d.gateway.registry.EndRun(d.run, response.Status < http.StatusMultipleChoices)
 	if response.HasEnd() && response.Status < http.StatusMultipleChoices {
 		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
 	}
@@ -176,10 +177,16 @@
 	d.relay.lastEventID = lastEventID(events, d.relay.lastEventID)
 	d.record.recordFirstEvent(d.startedAt)
 	d.recordOutput()
+	d.gateway.registry.RecordEvents(d.run, eventCount(events))
+	begun := time.Now()
 	if _, err := d.writer.Write(events); err != nil {
 		return err
 	}
-	return http.NewResponseController(d.writer).Flush()
+	err := http.NewResponseController(d.writer).Flush()
+	if time.Since(begun) > maxCallerWrite {
+		d.gateway.registry.RecordCallerDelay(d.run)
+	}
+	return err
 }
 
 // handleBrokenStream decides what follows a stream that ended early or holds bytes that
