--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -268,9 +268,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	running := map[string]int{}
-	for key, count := range r.running {
+	for key, load := range r.running {
 		if entry := r.entries[key.upstream]; entry != nil && entry.DataCenter == dataCenter {
-			running[key.upstream] += count
+			running[key.upstream] += load.count
 		}
 	}
 	return running
