--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 )
 
 const (
@@ -74,6 +75,7 @@
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
 	crashReports  *crashReports
+	paces         *pace.Collector
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
 	storeStarts   []time.Duration
@@ -111,6 +113,7 @@
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
 	c.crashReports = newCrashReports(c.log)
+	c.paces = pace.NewCollector()
 	c.estimates = nil
 	c.poolHosts = nil
 	c.leaving, c.cold = nil, nil
@@ -141,6 +144,7 @@
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
+	c.recordPaces(now, request)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
 			engine.suspected = true
@@ -161,16 +165,44 @@
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
 	c.replyCold(now, config, request, reply)
+	c.sharePaces(now, request.Epoch == epoch, request.PaceVersion, reply)
 	return reply
 }
 
-// slots returns the number of concurrent requests of an engine, or 0 for a plain service,
-// which is not part of the fleet and has few slots.
-func (c *Coordinator) slots(upstream string) int {
-	if engine := c.fleet[upstream]; engine != nil {
-		return engine.upstream.Slots
+// capacities returns a function that returns the number of concurrent requests of an engine
+// and its KV memory in tokens, or 0 for a plain service, which is not part of the fleet and has
+// few slots.
+func (c *Coordinator) capacities(config *catalog.Config) func(upstream string) (slots, memoryTokens int) {
+	return func(upstream string) (slots, memoryTokens int) {
+		engine := c.fleet[upstream]
+		if engine == nil {
+			return 0, 0
+		}
+		if service := config.Services[engine.upstream.Service]; service != nil && service.Engine != nil {
+			memoryTokens = service.Engine.MemoryTokens
+		}
+		return engine.upstream.Slots, memoryTokens
 	}
-	return 0
+}
+
+// Allowance grants to a host between its exchanges.
+func (c *Coordinator) Allowance(request *AllowanceRequest) *AllowanceReply {
+	if !c.lease.Held() {
+		return &AllowanceReply{}
+	}
+	config, now := c.fleetState.Config(), c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &AllowanceReply{Holder: true, Grants: map[string]allowance.Grant{}}
+	for name, need := range request.Needs {
+		if config == nil {
+			break
+		}
+		if workspace := config.Workspaces[name]; workspace != nil && workspace.Limited() {
+			reply.Grants[name] = c.ledger.ExchangePending(now, request.Host, workspace, need)
+		}
+	}
+	return reply
 }
 
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
@@ -228,7 +260,8 @@
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
 	c.cold = c.demand.cold()
-	c.notableLoads = c.demand.notableLoads(c.slots)
+	c.notableLoads = c.demand.notableLoads(c.capacities(config))
+	c.paces.Refresh(now)
 	c.syncEngines(now, upstreams, config)
 	c.updateReachability()
 	c.startReports(ctx, now)
