Coordinator: entries of engines are read under the lock

Cause: the loop that waits for a load read the engine's entry, for its data centre and its ID, beside the goroutine that replaces it: a data race, new with the evacuation; the ID in log lines and adapter replies was read so before.

Change: the data centre is read under the lock; ID and service are copied when the state is made.

--- a/internal/coordinator/adapters.go
+++ b/internal/coordinator/adapters.go
@@ -35,7 +35,7 @@
 	case engine == nil:
 		return &AdapterReply{Reason: "no engine with the model has a place"}
 	case loaded:
-		return &AdapterReply{Upstream: engine.upstream.ID}
+		return &AdapterReply{Upstream: engine.id}
 	case busyFor > 0:
 		return &AdapterReply{Reason: "the engine loads a model", RetryInMS: int(busyFor.Milliseconds())}
 	}
@@ -58,7 +58,7 @@
 	c.mu.Unlock()
 	switch {
 	case loaded:
-		return &AdapterReply{Upstream: engine.upstream.ID}
+		return &AdapterReply{Upstream: engine.id}
 	case full && evict == "":
 		return &AdapterReply{Reason: "all places are in use"}
 	case evict != "" && !c.unloadAdapter(ctx, engine, evict):
@@ -83,7 +83,7 @@
 		engine.holdings.Models = models
 	}
 	engine.changed = true
-	reply := &AdapterReply{Upstream: engine.upstream.ID}
+	reply := &AdapterReply{Upstream: engine.id}
 	if result == OrderAccepted {
 		reply.ReadyInMS = int(adapterLoadTime.Milliseconds())
 	}
@@ -133,7 +133,7 @@
 		if full {
 			return
 		}
-		request := &AdapterRequest{ModelKey: ModelKey{engine.upstream.Service, model}, Adapter: adapter}
+		request := &AdapterRequest{ModelKey: ModelKey{engine.service, model}, Adapter: adapter}
 		if reply := c.loadAdapter(ctx, engine, request); reply.Upstream == "" {
 			return
 		}
--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -23,6 +23,13 @@
 	e.evacuated = evacuated
 }
 
+// isEvacuated reports whether the data centre of an engine is evacuated now.
+func (c *Coordinator) isEvacuated(engine *engineState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fleetState.Evacuated(engine.upstream.DataCenter)
+}
+
 // demandOfEvacuated counts the requests of one second for a model that only evacuated
 // engines serve as waiting: it is loaded elsewhere before the hosts stop using these
 // engines, most requested models first.
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -127,3 +127,23 @@
 		t.Errorf("order given: %v, attempts ended after %v", ok, time.Since(start))
 	}
 }
+
+// Guards against reads of an engine's entry beside the goroutine that replaces it (data race,
+// found by tests/gateway -run CrashingSegmentSoak with -race).
+func TestEntryChangesDuringALoad(t *testing.T) {
+	c, engine := startCoordinator(t, 2)
+	engine.mu.Lock()
+	engine.late = 300 * time.Millisecond
+	engine.mu.Unlock()
+	c.Exchange(1, &ExchangeRequest{Host: "h", Demand: []ModelDemand{{ModelKey: ModelKey{"llm", "m1"}, Arrivals: 1, Waiting: 1}}})
+	fleetState := c.fleetState.(*fakeFleetState)
+	for end := time.Now().Add(600 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		entry := *fleetState.Upstreams()[0]
+		fleetState.set(&entry)
+	}
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if !engine.holdings.Holds("m1") {
+		t.Error("m1 was not loaded")
+	}
+}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -11,6 +11,7 @@
 
 // engineState is the coordinator's state for one incarnation of an engine.
 type engineState struct {
+	id, service    string // as in upstream; they do not change
 	upstream       *catalog.Upstream
 	holdings       catalog.Holdings
 	reported       bool       // a report was read, so the order count is known
@@ -56,7 +57,7 @@
 
 func newEngineState(upstream *catalog.Upstream) *engineState {
 	return &engineState{
-		upstream: upstream, holdings: upstream.Holdings,
+		id: upstream.ID, service: upstream.Service, upstream: upstream, holdings: upstream.Holdings,
 		loadedAt: map[string]time.Duration{}, adapterRequestedAt: map[string]time.Duration{}, changed: true,
 	}
 }
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -98,18 +98,18 @@
 	start := c.now()
 	clock.Sleep(ctx, action.LoadTime+reportLag)
 	limit := action.LoadTime*overdueFactor + time.Second
-	for ctx.Err() == nil && c.now()-start < limit && !c.fleetState.Evacuated(engine.upstream.DataCenter) {
+	for ctx.Err() == nil && c.now()-start < limit && !c.isEvacuated(engine) {
 		if c.refreshReport(ctx, engine) && c.holdsModel(engine, order.Model) {
-			c.log.Info("Order carried out.", "upstream", engine.upstream.ID, "model", order.Model,
+			c.log.Info("Order carried out.", "upstream", engine.id, "model", order.Model,
 				"took_ms", (c.now() - start).Milliseconds())
 			return true
 		}
 		clock.Sleep(ctx, reportPollInterval)
 	}
-	if c.fleetState.Evacuated(engine.upstream.DataCenter) {
+	if c.isEvacuated(engine) {
 		return false
 	}
-	c.log.Info("Order overdue.", "upstream", engine.upstream.ID, "model", order.Model,
+	c.log.Info("Order overdue.", "upstream", engine.id, "model", order.Model,
 		"after_ms", (c.now() - start).Milliseconds())
 	c.backOff(engine)
 	return false
