Placement: replicas of crowded models at once, evictions by long-term rates

Some 20 models a second were loaded for single requests, each for another one that was evicted, although the engines have room for nearly all: rates over 4 s are near zero for most models, so victims were picked among them without regard to demand. Change: prefetches start beside at most one other load from the store; a model gets a further replica while one is being loaded if that one is not enough; the demand beyond the replicas counts against waiting requests when an engine loads from the store. Evictions are ranked by the chance that the victim is requested within 20 s, from rates over a minute. Slow engines get models last. Measured: TestCrowdedModelGetsReplicasAtOnce, TestSteadilyRequestedModelIsNotEvicted and TestLoadsAvoidSlowEngines fail before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -325,8 +325,10 @@
 	running := c.demand.running()
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
-			input.Engines = append(input.Engines, engine.plannerView(now, running[engine.upstream.ID]))
-			input.Engines[len(input.Engines)-1].ColdPerS = c.coldRate(now, engine, service)
+			view := engine.plannerView(now, running[engine.upstream.ID])
+			view.ColdPerS = c.coldRate(now, engine, service)
+			view.Pace, _ = c.paces.Pace(now, pace.Incarnation{ID: engine.upstream.ID, StartedMS: engine.upstream.StartedMS})
+			input.Engines = append(input.Engines, view)
 		}
 	}
 	if _, ok := c.lease.MayOrder(orderDeliveryTime); ok {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -10,6 +10,13 @@
 const (
 	// rateTimeConstant is the time constant of the measured request rates.
 	rateTimeConstant = 4 * time.Second
+	// steadyTimeConstant is the time constant of the rates by which models are ranked for
+	// eviction. Most models are requested less than once in rateTimeConstant, so that their
+	// short-term rates are all near zero.
+	steadyTimeConstant = time.Minute
+	// minObservedPart bounds the correction of steady rates after the start of a term, when
+	// one request would count as many.
+	minObservedPart = 0.1
 	// hostReportTTL is how long a host's last report about its requests is used.
 	hostReportTTL = 1500 * time.Millisecond
 	// notableLoadDivisor defines notable load: hosts are told about each other's requests
@@ -24,6 +31,7 @@
 type modelRate struct {
 	rate        float64 // requests per second
 	adapterRate float64 // part of rate that names an adapter
+	steady      float64 // requests per second, over steadyTimeConstant
 	at          time.Duration
 	lastSeen    time.Duration
 }
@@ -32,6 +40,7 @@
 	decay := math.Exp(-(now - r.at).Seconds() / rateTimeConstant.Seconds())
 	r.rate = r.rate*decay + float64(arrivals)/rateTimeConstant.Seconds()
 	r.adapterRate = r.adapterRate*decay + float64(adapterArrivals)/rateTimeConstant.Seconds()
+	r.steady = r.steady*math.Exp(-(now-r.at).Seconds()/steadyTimeConstant.Seconds()) + float64(arrivals)/steadyTimeConstant.Seconds()
 	r.at = now
 	if arrivals > 0 {
 		r.lastSeen = now
@@ -52,8 +61,9 @@
 
 // demandTracker collects the demand that hosts report. It is not safe for concurrent use.
 type demandTracker struct {
-	rates map[ModelKey]*modelRate
-	hosts map[string]hostReport
+	started time.Duration // time of the first report; 0: none yet
+	rates   map[ModelKey]*modelRate
+	hosts   map[string]hostReport
 	// atUpstream, atModel and atAdapter count the running requests of all hosts.
 	atUpstream map[string]int
 	// tokensAt counts the tokens of the running requests of all hosts.
@@ -95,6 +105,9 @@
 }
 
 func (t *demandTracker) record(now time.Duration, request *ExchangeRequest) {
+	if t.started == 0 {
+		t.started = now
+	}
 	t.count(t.hosts[request.Host].running, -1)
 	t.count(request.Running, 1)
 	t.hosts[request.Host] = hostReport{
@@ -174,6 +187,8 @@
 		}
 		return demand[model]
 	}
+	// The moving average begins at zero; it has seen this part of its weight.
+	observed := max(minObservedPart, 1-math.Exp(-(now-t.started).Seconds()/steadyTimeConstant.Seconds()))
 	for key, rate := range t.rates {
 		if key.Service != service {
 			continue
@@ -181,6 +196,7 @@
 		rate.add(now, 0, 0)
 		d := get(key.Model)
 		d.Rate, d.AdapterRate, d.LastSeen = rate.rate, rate.adapterRate, rate.lastSeen
+		d.SteadyRate = rate.steady / observed
 	}
 	for _, report := range t.hosts {
 		for _, m := range report.demand {
--- a/internal/coordinator/eviction.go
+++ b/internal/coordinator/eviction.go
@@ -2,11 +2,22 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 )
 
+const (
+	// residenceTime is the time in which a request for an evicted model means that it should
+	// have stayed: about that long a model stays that nobody requests.
+	residenceTime = 20 * time.Second
+	// reloadOverhead is the cost of a load besides its time: orders, and the eviction of
+	// another model.
+	reloadOverhead = time.Second
+)
+
 // freeMB returns the memory that is certainly free, in MB.
 func (p *planner) freeMB(engine *Engine) float64 {
 	e := p.Service.Engine
@@ -90,5 +101,10 @@
 		return 0, false
 	}
 	reload := p.loadTime(model, p.source(engine, model))
-	return rate * reload.Seconds(), true
+	if ready > 1 {
+		return rate * reload.Seconds(), true // other replicas serve its requests
+	}
+	// The next request waits for the load, and evicts another model in turn.
+	requested := 1 - math.Exp(-max(demand.Rate, demand.SteadyRate)*residenceTime.Seconds())
+	return requested * (reload + reloadOverhead).Seconds(), true
 }
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -42,6 +42,12 @@
 	adapterRequestCost = 2.0
 	// maxNeeds limits the models that one plan tries to place.
 	maxNeeds = 24
+	// maxPrefetchLoads limits the loads from the weight store in progress beside which another
+	// model is prefetched, so that a requested model does not wait for all of them.
+	maxPrefetchLoads = maxStoreLoads / 2
+	// slowEngineCost is the cost, in seconds, of loading a model on an engine that takes twice
+	// the usual time.
+	slowEngineCost = 1.0
 	// prefetchValue is the priority of a prefetch, lower than that of any requested model.
 	prefetchValue = 0.01
 	// runningRequestCost is the cost, in seconds, of each running request on an engine that
@@ -67,10 +73,13 @@
 	Rate float64 // requests per second
 	// AdapterRate is the part of Rate that names an adapter, in requests per second.
 	AdapterRate float64
-	Waiting     int
-	Oldest      time.Duration // waiting time of the oldest waiting request
-	Running     int
-	LastSeen    time.Duration // time of the last request
+	// SteadyRate is the long-term rate, in requests per second, also of models that are
+	// requested seldom.
+	SteadyRate float64
+	Waiting    int
+	Oldest     time.Duration // waiting time of the oldest waiting request
+	Running    int
+	LastSeen   time.Duration // time of the last request
 }
 
 // Engine is the planner's input about one engine.
@@ -88,7 +97,9 @@
 	Holdings catalog.Holdings
 	// Reserved are models whose load is in progress or may still be executed.
 	Reserved []string
-	Running  map[string]int           // by model, over all hosts
+	Running  map[string]int // by model, over all hosts
+	// Pace is the ratio of the engine's times to the usual ones; 0: not known.
+	Pace     float64
 	LoadedAt map[string]time.Duration // by model, when it became ready
 	Loading  string                   // model that is being loaded; empty if none
 	// LoadingFromStore reports that Loading comes from the weight store.
@@ -133,6 +144,7 @@
 	model    string
 	value    float64 // priority
 	waiting  int     // requests that wait for the model
+	unserved float64 // requests per second beyond what the replicas can carry
 	reason   string
 	prefetch bool // no request waits for the model
 }
@@ -174,12 +186,13 @@
 	if demand == nil {
 		demand = &Demand{}
 	}
-	if loading > 0 {
-		return need{}, false
+	unserved := p.unserved(demand, r)
+	if loading > 0 && (ready == 0 || unserved < targetReplicaRate) {
+		return need{}, false // what is being loaded may be enough
+	}
+	n := need{
+		model: model, value: unservedWeight*unserved + waitingWeight*float64(demand.Waiting), waiting: demand.Waiting, unserved: unserved,
 	}
-	load := p.targetConcurrency()
-	unserved := max(0, demand.Rate-r.rate, float64(demand.Running)/load-float64(ready))
-	n := need{model: model, value: unservedWeight*unserved + waitingWeight*float64(demand.Waiting), waiting: demand.Waiting}
 	switch {
 	case ready == 0 && demand.Waiting > 0:
 		n.value += demand.Oldest.Seconds()
@@ -201,6 +214,13 @@
 	return n, true
 }
 
+// unserved returns the demand, in requests per second, beyond what the replicas of a model
+// should carry, those that are being loaded included.
+func (p *planner) unserved(demand *Demand, r replicas) float64 {
+	rate := r.rate + targetReplicaRate*float64(r.loading)
+	return max(0, demand.Rate-rate, float64(demand.Running)/p.targetConcurrency()-float64(r.ready+r.loading))
+}
+
 // targetConcurrency returns the number of concurrent requests that one replica should
 // carry.
 func (p *planner) targetConcurrency() float64 {
@@ -236,7 +256,7 @@
 // assign chooses the engine with the lowest cost for a need, if any engine can take the
 // model.
 func (p *planner) assign(n need) {
-	if p.replicas(n.model).copies == 0 && p.storeFull() {
+	if p.replicas(n.model).copies == 0 && p.storeFull() || n.prefetch && p.activeStoreLoads >= maxPrefetchLoads {
 		return
 	}
 	var best *Action
@@ -278,6 +298,7 @@
 		running += count
 	}
 	cost := loadTime.Seconds() + evictionCost + runningRequestCost*float64(running) + p.adapterDelayCost(engine)*loadTime.Seconds()
+	cost += slowEngineCost * max(0, engine.Pace-1)
 	// Break ties by hash, so that every coordinator chooses the same engine.
 	cost += float64(rendezvous.Score(n.model, engine.ID)%1000) / 1e5
 	return Action{
--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -253,3 +253,63 @@
 		t.Errorf("actions %+v, want m1 on e2", actions)
 	}
 }
+
+// Guards against a model that requests crowd at its only replica while prefetches take all
+// loads from the weight store, and that then gets one replica at a time (a model with 20
+// requests per second had one or two replicas for 30 s).
+func TestCrowdedModelGetsReplicasAtOnce(t *testing.T) {
+	engines := []*Engine{testEngine("e0", "m0"), testEngine("p1"), testEngine("p2")}
+	for _, engine := range engines[1:] {
+		engine.Loading, engine.LoadingFromStore, engine.Occupied = "m9", true, true
+	}
+	for i := range 6 {
+		engines = append(engines, testEngine(fmt.Sprintf("e%d", i+1)))
+	}
+	input := testInput(testService(30), engines...)
+	input.Prefetch = true
+	input.Demand["m0"] = &Demand{Rate: 20, SteadyRate: 5, Running: 14, LastSeen: testNow}
+	loads := 0
+	for _, action := range Plan(input) {
+		if action.Load != "m0" {
+			t.Errorf("load of %s beside two loads from the store", action.Load)
+		}
+		loads++
+	}
+	if loads != 1 {
+		t.Errorf("%d loads of m0 in one plan, want 1", loads)
+	}
+	engines[3].Loading, engines[3].LoadingFromStore, engines[3].Occupied = "m0", true, true
+	if actions := Plan(input); len(actions) != 1 || actions[0].Load != "m0" {
+		t.Errorf("actions %+v, want another replica of m0 while one is being loaded", actions)
+	}
+	input.Demand["m0"].Rate = 9
+	if actions := Plan(input); len(actions) != 0 {
+		t.Errorf("actions %+v, want none: the replica that is being loaded is enough", actions)
+	}
+}
+
+// Guards against evicting at random among models that are requested seldom: a model requested
+// each 10 s was evicted for one nobody asks for.
+func TestSteadilyRequestedModelIsNotEvicted(t *testing.T) {
+	input := testInput(testService(8), testEngine("e1", "m0", "m1", "m2"))
+	input.Demand["m0"] = &Demand{SteadyRate: 0.1, LastSeen: testNow - 9*time.Second}
+	input.Demand["m1"] = &Demand{SteadyRate: 0.002, Rate: 0.01, LastSeen: testNow - 5*time.Second}
+	input.Demand["m2"] = &Demand{SteadyRate: 0.08, LastSeen: testNow - 20*time.Second}
+	input.Demand["m5"] = &Demand{Waiting: 1}
+	if actions := Plan(input); len(actions) != 1 || !slices.Equal(actions[0].Unload, []string{"m1"}) {
+		t.Errorf("actions %+v, want m1 to be evicted", actions)
+	}
+}
+
+// A requested model goes to an engine of usual speed rather than to a slow one.
+func TestLoadsAvoidSlowEngines(t *testing.T) {
+	for _, slow := range []int{0, 1} {
+		engines := []*Engine{testEngine("e0"), testEngine("e1")}
+		engines[slow].Pace = 1.6
+		input := testInput(testService(8), engines...)
+		input.Demand["m5"] = &Demand{Waiting: 1}
+		if actions := Plan(input); len(actions) != 1 || actions[0].Engine != engines[1-slow].ID {
+			t.Errorf("engine %d is slow: actions %+v", slow, actions)
+		}
+	}
+}
--- a/internal/coordinator/storeload.go
+++ b/internal/coordinator/storeload.go
@@ -16,11 +16,14 @@
 
 // delaysLocalLoads reports whether requests would wait longer in total if the engine loaded
 // the needed model from the weight store before the models of which it has copies: an
-// engine carries out one order at a time, and a load from the store takes long.
+// engine carries out one order at a time, and a load from the store takes long. Requests
+// beyond what the model's replicas can carry arrive during the load; they wait for half of it
+// on average.
 func (p *planner) delaysLocalLoads(engine *Engine, n need) bool {
 	local := p.localDemandOf(engine)
 	storeTime := p.loadTime(n.model, FromStore)
-	return local.waiting*storeTime.Seconds() > float64(n.waiting)*local.loadTime.Seconds()
+	affected := float64(n.waiting) + n.unserved*storeTime.Seconds()/2
+	return local.waiting*storeTime.Seconds() > affected*local.loadTime.Seconds()
 }
 
 func (p *planner) localDemandOf(engine *Engine) localDemand {
