Model check of cold grants: all four mutants run

Cause: spec/run.sh finds the mutants of a model by the text 'MUTANT == N'; three of the four were written with '!=' and were not run.

Change: they are written with '=='.

--- a/spec/cold_grants.pml
+++ b/spec/cold_grants.pml
@@ -81,7 +81,8 @@
 #if MUTANT == 2
 		ttl[h] = L;
 #endif
-#if MUTANT != 4
+#if MUTANT == 4
+#else
 		if
 		:: seated[h] && seat[h] == 0 -> pause[h] = W /* another host may have used it */
 		:: else
@@ -145,11 +146,13 @@
 		i = 0 }
 	:: atomic { term == 0 -> /* the lease of the coordinator before has ended */
 		term = 1;
-#if MUTANT != 1
+#if MUTANT == 1
+#else
 		wait = L;
 		level[1] = 0;
 #endif
-#if MUTANT != 3
+#if MUTANT == 3
+#else
 		seat_wait = S;
 #endif
 		skip }
