--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
 )
@@ -53,6 +54,9 @@
 	Upstreams() []*catalog.Upstream
 	// Paused reports whether an upstream told this host to send nothing now.
 	Paused(upstream *catalog.Upstream) bool
+	// Evacuated reports whether nothing more is to be sent to the upstreams of a data
+	// centre.
+	Evacuated(dataCenter string) bool
 }
 
 // Coordinator places models, sends orders to engines and answers host exchanges while this
@@ -78,6 +82,8 @@
 	estimates     []Estimate
 	poolHosts     []PoolHost
 	leaving       []Incarnation // upstreams that told a host that they leave
+	cold          []coldUntil   // upstreams that a host was told are cold
+	coldDivider   *coldstart.Divider
 	actions       sync.WaitGroup
 }
 
@@ -110,7 +116,8 @@
 	c.paces = pace.NewCollector()
 	c.estimates = nil
 	c.poolHosts = nil
-	c.leaving = nil
+	c.leaving, c.cold = nil, nil
+	c.coldDivider = coldstart.NewDivider(c.now(), first)
 }
 
 // Hosts returns the hosts that may spend from local shares.
@@ -131,6 +138,7 @@
 	defer c.mu.Unlock()
 	if request.Departed {
 		c.ledger.Remove(request.Host)
+		c.coldDivider.Depart(request.Host)
 		return &ExchangeReply{Holder: true, Epoch: epoch}
 	}
 	c.ledger.Observe(now, request.Host)
@@ -156,6 +164,7 @@
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
+	c.replyCold(now, config, request, reply)
 	c.sharePaces(now, request.Epoch == epoch, request.PaceVersion, reply)
 	return reply
 }
@@ -176,6 +185,26 @@
 	}
 }
 
+// Allowance grants to a host between its exchanges.
+func (c *Coordinator) Allowance(request *AllowanceRequest) *AllowanceReply {
+	if !c.lease.Held() {
+		return &AllowanceReply{}
+	}
+	config, now := c.fleetState.Config(), c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &AllowanceReply{Holder: true, Grants: map[string]allowance.Grant{}}
+	for name, need := range request.Needs {
+		if config == nil {
+			break
+		}
+		if workspace := config.Workspaces[name]; workspace != nil && workspace.Limited() {
+			reply.Grants[name] = c.ledger.ExchangePending(now, request.Host, workspace, need)
+		}
+	}
+	return reply
+}
+
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
 	grants := map[string]allowance.Grant{}
 	for name, need := range request.Needs {
@@ -230,6 +259,7 @@
 	c.demand.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
+	c.cold = c.demand.cold()
 	c.notableLoads = c.demand.notableLoads(c.capacities(config))
 	c.paces.Refresh(now)
 	c.syncEngines(now, upstreams, config)
@@ -254,12 +284,12 @@
 		present[upstream.ID] = true
 		engine := c.fleet[upstream.ID]
 		if engine == nil || engine.upstream.StartedMS != upstream.StartedMS {
-			c.fleet[upstream.ID] = newEngineState(upstream)
-			continue
-		}
-		if engine.upstream != upstream {
+			engine = newEngineState(upstream)
+			c.fleet[upstream.ID] = engine
+		} else if engine.upstream != upstream {
 			engine.applyEntry(upstream)
 		}
+		engine.setEvacuated(c.fleetState.Evacuated(upstream.DataCenter))
 	}
 	for id := range c.fleet {
 		if !present[id] {
@@ -291,10 +321,12 @@
 		Now: now, Service: service, Demand: c.demand.forService(now, service.Name),
 		StoreStarts: c.storeLoadBudget(now, service.Engine), Prefetch: true,
 	}
+	c.demandOfEvacuated(service.Name, input.Demand)
 	running := c.demand.running()
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
 			input.Engines = append(input.Engines, engine.plannerView(now, running[engine.upstream.ID]))
+			input.Engines[len(input.Engines)-1].ColdPerS = c.coldRate(now, engine, service)
 		}
 	}
 	if _, ok := c.lease.MayOrder(orderDeliveryTime); ok {
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -17,7 +17,10 @@
 	HasAdapter  bool // the requested adapter is loaded
 	InBackoff   bool // its connection recently broke or could not be opened
 	FailureRate float64
-	Pace        float64 // its times relative to the usual ones of its service
+	// ColdFor is how long the upstream stays cold; 0: it is not. A candidate that is cold may
+	// get a request now.
+	ColdFor time.Duration
+	Pace    float64 // its times relative to the usual ones of its service
 	*Situation
 }
 
@@ -30,20 +33,33 @@
 
 // Candidates returns the upstreams of a service that have the model loaded; model is
 // "" for plain services. Upstreams that are shutting down, and those that want no requests
-// now, are left out.
+// now, are left out. Upstreams of an evacuated data centre are returned only while they are
+// in their last use and no other upstream has the model. Cold upstreams that may get no request now
+// are left out, too.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
 	now, sinceBoot, paused := time.Now(), r.now(), r.pauses()
+	leaving := r.evacuations.at(r.now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	situation := &Situation{Usual: r.paces.Times(service), OthersAge: r.othersAge(sinceBoot)}
 	candidates := make([]Candidate, 0, r.candidateCount)
+	elsewhere := false // an upstream outside the evacuated data centres has the model
 	for id, entry := range r.entries {
 		adapters, ok := r.serves(entry, service, model, now)
-		if !ok || paused.of(entry) > 0 {
+		if !ok || leaving.closed(entry) {
+			continue
+		}
+		elsewhere = elsewhere || !leaving.affects(entry)
+		if paused.of(entry) > 0 {
+			continue
+		}
+		coldFor, blocked := r.cold.state(id)
+		if blocked {
+			r.cold.want(id)
 			continue
 		}
 		candidate := Candidate{
-			Upstream: entry, Pace: r.paces.Factor(sinceBoot, incarnationOf(entry)),
+			Upstream: entry, ColdFor: coldFor, Pace: r.paces.Factor(sinceBoot, paceIncarnation(entry)),
 			Situation:  situation,
 			HasAdapter: adapter == "" || (slices.Contains(adapters, adapter) && !r.isMissing(id, model, adapter, now)),
 		}
@@ -57,6 +73,9 @@
 		candidates = append(candidates, candidate)
 	}
 	r.candidateCount = len(candidates)
+	if elsewhere {
+		candidates = leaving.remove(candidates)
+	}
 	return candidates
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
@@ -49,8 +50,10 @@
 	// withheld counts the sends that were given up because of a statement that arrived
 	// after the upstream was chosen.
 	withheld int
-	relay    relay
-	upstream *catalog.Upstream // of the current run
+	// coldPermit is that of the current run, if its upstream is cold.
+	coldPermit coldstart.Permit
+	relay      relay
+	upstream   *catalog.Upstream // of the current run
 	// candidate is the choice of upstream, run the measurement of its pace; nil before the
 	// send.
 	candidate *Candidate
@@ -218,10 +221,10 @@
 		d.withheld++ // the next send is refused with the reason
 		return false
 	}
-	if !d.gateway.registry.BeginSend(to) {
+	if !d.gateway.registry.BeginSend(to) || !d.takeCold(to) {
 		d.withheld++
 		d.gateway.metrics.sendsWithheld.Inc()
-		d.gateway.log.Info("Send withheld; the upstream leaves or wants no requests.", "request", d.request.ID, "upstream", to.ID)
+		d.gateway.log.Info("Send withheld; the upstream leaves, wants no requests, is evacuated or cold.", "request", d.request.ID, "upstream", to.ID)
 		return false
 	}
 	d.departure.countSend()
@@ -308,6 +311,9 @@
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
 	d.tried[id] = true
+	if d.gateway.protocol.Misdirected(response.Status) {
+		d.returnCold()
+	}
 	if d.gateway.protocol.Misdirected(response.Status) && d.isEngine() {
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
 	}
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -19,14 +19,21 @@
 // it was last confirmed. It is safe for concurrent use.
 type configuration struct {
 	decode DecodeConfig
-	log    logr.Logger
+	// onRows receives the rows of each change before a new version is in force. Optional.
+	onRows func(rows []table.Row, full bool)
+	// onFirst is called when the first version is in force. Optional.
+	onFirst func()
+	log     logr.Logger
 
 	current atomic.Pointer[catalog.Config]
 	replica table.Replica
 }
 
 // apply applies rows of the operator's table. Versions never go back.
-func (c *configuration) apply(rows []table.Row, _ bool) {
+func (c *configuration) apply(rows []table.Row, full bool) {
+	if c.onRows != nil {
+		c.onRows(rows, full)
+	}
 	var config *catalog.Config
 	err := confine.Call("decoding the configuration", func() (err error) {
 		config, err = c.decode(rows)
@@ -37,7 +44,10 @@
 		return
 	}
 	if config != nil && config.Version > c.version() {
-		c.current.Store(config)
+		previous := c.current.Swap(config)
+		if previous == nil && c.onFirst != nil {
+			c.onFirst()
+		}
 		c.log.Info("Configuration in force.", "version", config.Version, "services", len(config.Services),
 			"workspaces", len(config.Workspaces))
 	}
@@ -83,5 +93,8 @@
 	config *configuration
 }
 
+// Evacuated implements coordinator.FleetState.
+func (k fleetState) Evacuated(dataCenter string) bool { return k.evacuations.requested(dataCenter) }
+
 // Config implements coordinator.FleetState.
 func (k fleetState) Config() *catalog.Config { return k.config.current.Load() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,13 +47,16 @@
 	// DroppedLogLines returns the number of dropped log lines. Optional.
 	DroppedLogLines func() float64
 
-	Reader         table.Reader
-	Committer      table.Committer
-	ConfigTable    string
-	UpstreamTable  string
-	DecodeConfig   DecodeConfig
-	DecodeUpstream DecodeUpstream
-	Protocol       call.Protocol
+	Reader        table.Reader
+	Committer     table.Committer
+	ConfigTable   string
+	UpstreamTable string
+	DecodeConfig  DecodeConfig
+	// DecodeEvacuation finds evacuations among the rows of ConfigTable. Optional: without it
+	// no data centre is evacuated.
+	DecodeEvacuation DecodeEvacuation
+	DecodeUpstream   DecodeUpstream
+	Protocol         call.Protocol
 	// Engines returns the client of engines, which passes on what they say of themselves
 	// in their responses.
 	Engines func(onStatement func(*catalog.Upstream, call.Statement)) coordinator.Engines
@@ -95,6 +98,12 @@
 	}
 	g.config.replica.OnChange = g.config.apply
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
+	g.registry.evacuations.bound = s.Evacuation()
+	if options.DecodeEvacuation != nil {
+		g.config.onRows = func(rows []table.Row, full bool) {
+			g.registry.applyEvacuations(options.DecodeEvacuation, rows, full, g.config.replica.PreviouslyConfirmedAt())
+		}
+	}
 	g.elector = &lease.Elector{
 		Started: clock.SinceBoot(), Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
 		Terms: lease.Terms{
@@ -109,9 +118,17 @@
 		settings: &g.settings, log: options.Log, elector: g.elector, coordinator: g.coordinator, config: g.config.current.Load,
 		registry: g.registry, demand: newDemandTracker(), balances: allowance.NewBalances(), retryBudget: NewRetryBudget(s.retryLimits()),
 		quarantine: newRequestQuarantine(),
-		wake:       make(chan struct{}, 1),
-		replicas:   map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.registry.Replica},
+		wake:       make(chan struct{}, 1), allowanceWake: make(chan struct{}, 1),
+		replicas: map[string]*table.Replica{options.ConfigTable: &g.config.replica, options.UpstreamTable: &g.registry.Replica},
 	}
+	g.registry.cold.configure(s.Host, func(name string) *catalog.Service {
+		config := g.config.current.Load()
+		if config == nil {
+			return nil
+		}
+		return config.Services[name]
+	}, g.exchanger.Reached)
+	g.config.onFirst = g.registry.reviewCold
 	g.exchanger.poolExchanger = newPoolExchanger(&g.settings, g.log, g.exchanger.balances, g.config.current.Load, &g.exchanger.client)
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -17,7 +17,7 @@
 	maxCallerWrite = 20 * time.Millisecond
 )
 
-func incarnationOf(upstream *catalog.Upstream) pace.Incarnation {
+func paceIncarnation(upstream *catalog.Upstream) pace.Incarnation {
 	return pace.Incarnation{ID: upstream.ID, StartedMS: upstream.StartedMS}
 }
 
@@ -27,7 +27,7 @@
 	load := float64(to.Load) / float64(max(1, to.Upstream.Slots))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.paces.Begin(r.now(), to.Upstream.Service, incarnationOf(to.Upstream), load, promptTokens)
+	return r.paces.Begin(r.now(), to.Upstream.Service, paceIncarnation(to.Upstream), load, promptTokens)
 }
 
 // RecordEvents records that events of a run arrived. run may be nil.
--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -196,7 +196,7 @@
 			if !tried[id] {
 				candidates = append(candidates, Candidate{
 					Upstream: u.entry, Load: h.own[id] + h.others[id], Own: h.own[id], HasAdapter: true,
-					Pace: h.paces.Factor(now, incarnationOf(u.entry)), Situation: situation,
+					Pace: h.paces.Factor(now, paceIncarnation(u.entry)), Situation: situation,
 				})
 			}
 		}
@@ -212,7 +212,7 @@
 				if len(request.PromptSegments) > 0 && u.cache(request.PromptSegments[0].ID) {
 					r.work -= float64(request.PromptSegments[0].Tokens) / pace.DefaultPrefillRate
 				}
-				r.run = h.paces.Begin(now, "s", incarnationOf(u.entry), float64(chosen.Load)/float64(u.entry.Slots), request.PromptTokens)
+				r.run = h.paces.Begin(now, "s", paceIncarnation(u.entry), float64(chosen.Load)/float64(u.entry.Slots), request.PromptTokens)
 				u.running = append(u.running, r)
 				h.own[u.entry.ID]++
 				return
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -39,7 +39,13 @@
 		if candidate != nil {
 			return candidate, nil
 		}
-		waited, refused := d.waitForPaused("")
+		if refused := d.refuseEvacuated(); refused != nil {
+			return nil, refused
+		}
+		waited, refused := d.waitForCold("")
+		if !waited && refused == nil {
+			waited, refused = d.waitForPaused("")
+		}
 		if refused != nil {
 			return nil, refused
 		}
@@ -81,7 +87,13 @@
 		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
 		candidate := d.selectCandidate(candidates)
 		if len(candidates) == 0 {
-			waited, refused := d.waitForPaused(d.request.Model)
+			if refused := d.refuseEvacuated(); refused != nil {
+				return nil, refused
+			}
+			waited, refused := d.waitForCold(d.request.Model)
+			if !waited && refused == nil {
+				waited, refused = d.waitForPaused(d.request.Model)
+			}
 			if refused != nil {
 				return nil, refused
 			}
