Pace: a request that waits at a full engine is no sample

Cause: a request in progress without a first event was sampled as overdue also where the engine was full when it was sent; its wait tells of the queue, and the planner would take a hot engine for a slow one. Change: the same bound of load (0.75) as for measured times to the first event.

--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -286,7 +286,7 @@
 		extra, wait = 0, &u.duration
 	}
 	expected, known := wait.at(run.load)
-	if !known {
+	if !known || wait == &u.first && run.load >= maxFirstLoad {
 		return 0
 	}
 	return (now - since).Seconds() / (expected + extra)
