Pace: hosts of an earlier version are told none

Cause: a host of an earlier version of the program sends no pace version, which meant 'none', so it was told all notable paces in each exchange. Change: a host without shared paces sends version -1. Result: TestPacesAreToldOnce (new) fails before, passes now; go test -race ./internal/coordinator ./internal/gateway ./internal/pace passes. Conclusion: a rolling update costs no further bytes.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -589,3 +589,24 @@
 	state := &fakeFleetState{config: catalog.NewConfig(1, nil, []*catalog.Service{service}, catalog.Limits{})}
 	return New("host", &fakeLease{}, state, engine, logr.Discard()), engine
 }
+
+// Guards against telling the paces of upstreams to hosts that do not know them, and again to
+// hosts that have them.
+func TestPacesAreToldOnce(t *testing.T) {
+	c, _ := startCoordinator(t, 2)
+	slow := Incarnation{Upstream: "e1", StartedMS: 1}
+	c.Exchange(1, &ExchangeRequest{Host: "h1", Paces: []PaceSample{{slow, 4, 5}}})
+	time.Sleep(3 * planInterval)
+	earlier := c.Exchange(1, &ExchangeRequest{Host: "h2"})
+	first := c.Exchange(1, &ExchangeRequest{Host: "h3", Epoch: 1, PaceVersion: -1})
+	again := c.Exchange(1, &ExchangeRequest{Host: "h3", Epoch: 1, PaceVersion: first.PaceVersion})
+	if len(earlier.Paces) != 0 || len(again.Paces) != 0 || again.PaceVersion != first.PaceVersion {
+		t.Errorf("told to an earlier version %+v, again %+v", earlier.Paces, again.Paces)
+	}
+	if !first.PacesFull || len(first.Paces) != 1 || first.Paces[0].Incarnation != slow || first.Paces[0].Ratio < 3 {
+		t.Errorf("told %+v", first)
+	}
+	if factor, confidence := c.Pace(&catalog.Upstream{ID: "e1", StartedMS: 1}); factor < 2 || confidence < 0.5 {
+		t.Errorf("pace %.2f, confidence %.2f", factor, confidence)
+	}
+}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -109,7 +109,8 @@
 	// shared as such.
 	Paces []PaceSample `json:"paces,omitempty"`
 	// PaceVersion is the version of the shared paces that the host has, of the coordinator of
-	// Epoch; 0: none.
+	// Epoch; -1: none. Hosts of an earlier version of the program leave it out and are told
+	// none.
 	PaceVersion int64 `json:"pace_version,omitempty"`
 	// Departed reports that the host has stopped: it spends nothing any more.
 	Departed bool `json:"departed,omitempty"`
--- a/internal/coordinator/pace.go
+++ b/internal/coordinator/pace.go
@@ -22,6 +22,9 @@
 // sharePaces adds the shared paces that changed after a host's version to the reply. known
 // reports whether the version is one of this term.
 func (c *Coordinator) sharePaces(now time.Duration, known bool, version int64, reply *ExchangeReply) {
+	if version == 0 {
+		return
+	}
 	var changed []pace.Shared
 	changed, reply.PacesFull, reply.PaceVersion = c.paces.Since(now, known, version)
 	for _, p := range changed {
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -80,8 +80,8 @@
 			Incarnation: coordinator.Incarnation{Upstream: s.ID, StartedMS: s.StartedMS}, Ratio: s.Ratio, Weight: s.Weight,
 		})
 	}
-	if now-r.pacesAt > paceConfirmation {
-		r.pacesVersion = 0
+	if r.pacesVersion == 0 || now-r.pacesAt > paceConfirmation {
+		return samples, -1
 	}
 	return samples, r.pacesVersion
 }
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -54,7 +54,7 @@
 	if c := candidate(); c.Load != 2 || c.Own != 0 || c.Tokens != 0 || c.Pace > 1.1 {
 		t.Errorf("candidate by a coordinator of an earlier version %+v", c)
 	}
-	if _, version := r.takePaces(); version != 0 {
+	if _, version := r.takePaces(); version != -1 {
 		t.Errorf("version %d of a coordinator that shares none", version)
 	}
 }
