Review: the stand-in leaves out sections of the template without a value

Cause: the settings template has a section for evacuations now. Change: a section whose field has no value is left out, as the platform does.

--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -199,6 +199,9 @@
 	}
 	text := section.ReplaceAllStringFunc(string(template), func(found string) string {
 		parts := section.FindStringSubmatch(found)
+		if _, ok := fields[parts[1]]; !ok {
+			return "" // as the platform does for a field without a value
+		}
 		return strings.ReplaceAll(parts[2], "{{.}}", fields[parts[1]])
 	})
 	for field, value := range fields {
