Access log: time that a request waited for its model and its adapter

Cause: why a request was late could not be told from its line in the log. Change: model_wait_ms and adapter_wait_ms, beside grant_wait_ms. Measured: tests of internal/gateway pass.

--- a/internal/gateway/access_record.go
+++ b/internal/gateway/access_record.go
@@ -23,6 +23,9 @@
 	sends      int
 	firstEvent time.Duration // time to the first event; 0: none
 	grantWait  time.Duration // time that the request waited for its workspace's allowance
+	modelWait  time.Duration // time that it waited for its model
+	// adapterWait is the time that it waited for its adapter.
+	adapterWait time.Duration
 	// adapterCalls counts the calls to load the request's adapter.
 	adapterCalls int
 	// choice is the candidate that was chosen last; nil: none.
@@ -57,7 +60,10 @@
 		fields = append(fields, "load", c.Load, "own", c.Own, "pace", math.Round(100*c.Pace)/100, "loads_age_ms", c.OthersAge.Milliseconds())
 	}
 	if in.record.adapterCalls > 0 {
-		fields = append(fields, "adapter_calls", in.record.adapterCalls)
+		fields = append(fields, "adapter_calls", in.record.adapterCalls, "adapter_wait_ms", in.record.adapterWait.Milliseconds())
+	}
+	if in.record.modelWait > 0 {
+		fields = append(fields, "model_wait_ms", in.record.modelWait.Milliseconds())
 	}
 	fields = append(fields, in.departure.report(now, g.metrics)...)
 	_, view := g.registry.ViewVersion()
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -133,6 +133,7 @@
 // the next call is due.
 func (d *dispatcher) requestAdapter(wait *adapterWait) (*Candidate, *refusal) {
 	wait.calls++
+	defer addElapsed(&d.record.adapterWait, time.Now())
 	d.record.adapterCalls++
 	d.gateway.metrics.adapterCalls.Inc()
 	d.departure.enter(stageAdapter)
@@ -186,6 +187,7 @@
 func (d *dispatcher) waitForModel(changed <-chan struct{}) *refusal {
 	g := d.gateway
 	d.departure.enter(stageModel)
+	defer addElapsed(&d.record.modelWait, time.Now())
 	done := g.exchanger.demand.wait(d.modelKey, d.startedAt)
 	defer done()
 	g.exchanger.exchangeSoon()
@@ -212,6 +214,9 @@
 	return nil
 }
 
+// addElapsed adds the time since began to a sum.
+func addElapsed(sum *time.Duration, began time.Time) { *sum += time.Since(began) }
+
 // remainingWait returns how long the request may still wait before its run must
 // begin. Until a stream has started, the route's caller timeout applies too.
 func (d *dispatcher) remainingWait() time.Duration {
