--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -313,3 +313,42 @@
 		}
 	}
 }
+
+// Guards against engines with idle memory while half of the requests for seldom requested
+// models wait for a load (140 engines held 235 of 456 models in 0.64 of their memory).
+func TestIdleMemoryIsFilled(t *testing.T) {
+	full, free := testEngine("e0", "m0", "m1", "m2"), testEngine("e1", "m3")
+	for _, engine := range []*Engine{full, free} {
+		engine.Holdings.OnDisk = append(engine.Holdings.OnDisk, "m4", "m5", "m6")
+	}
+	other := testEngine("e2", "m0", "m1", "m2")
+	input := testInput(testService(7), full, free, other)
+	input.Prefetch = true
+	input.Demand["m5"] = &Demand{SteadyRate: 0.05}
+	actions := Plan(input)
+	if len(actions) != 1 || actions[0].Load != "m5" || actions[0].Engine != "e1" || len(actions[0].Unload) != 0 {
+		t.Errorf("actions %+v, want a load of m5 into the idle memory of e1", actions)
+	}
+	checkMemory(t, input, actions)
+	input.Demand["m3"] = &Demand{AdapterRate: 2, Rate: 0.9}
+	if actions := Plan(input); len(actions) != 0 {
+		t.Errorf("actions %+v, want none: requests for adapters would wait", actions)
+	}
+	input.Prefetch = false
+	delete(input.Demand, "m3")
+	if actions := Plan(input); len(actions) != 0 {
+		t.Errorf("actions %+v, want none without prefetching", actions)
+	}
+}
+
+// A model that requests wait for is placed before idle memory is filled.
+func TestWaitingRequestsComeBeforeIdleMemory(t *testing.T) {
+	engine := testEngine("e0", "m0", "m1")
+	engine.Holdings.OnDisk = append(engine.Holdings.OnDisk, "m2", "m3")
+	input := testInput(testService(4), engine)
+	input.Prefetch = true
+	input.Demand["m2"], input.Demand["m3"] = &Demand{SteadyRate: 1.4}, &Demand{Waiting: 1}
+	if actions := Plan(input); len(actions) != 1 || actions[0].Load != "m3" {
+		t.Errorf("actions %+v, want a load of m3", actions)
+	}
+}
