Quarantine: count crashes in streams without a stated end

Cause: a stream with neither a length nor chunks that ended between two events counted as a complete response (recordSuccess), also when its upstream had crashed. No run was lost, so nothing was quarantined.

Change: such an end is uncertain. 100 ms later the host opens a connection to the upstream, which the next request uses. If the connection is refused or closed at once, or another run at the same incarnation is lost within a second, the end counts as a lost run, at the time of the end. If it is accepted, and the same incarnation answers a later request within 10 s, the response was complete and counts as an answer. Upstreams that leave are not counted. The same holds for plain answers without a stated end.

Conclusion: a crash counts whatever the framing. 'arbutusbank serve' is not affected: its streams end with [DONE].

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,7 +56,8 @@
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
 	// not yet.
 	sentAt, outputAt time.Time
-	survived         bool // the upstream has been answering the current run for answeredAfter
+	sentSinceBoot    time.Duration // sentAt on the boot clock
+	survived         bool          // the upstream has been answering the current run for answeredAfter
 }
 
 // dispatch sends the request to upstreams. It returns a refusal if the caller has not
@@ -163,6 +164,7 @@
 		return d.handleLostRun(id, "answer not understood", OutcomeFailed)
 	}
 	d.runs++
+	d.gateway.recordUpstreamAnswered(d.upstream, d.sentSinceBoot)
 	d.departure.enter(stageResponse)
 	return d.forward(id, response)
 }
@@ -219,6 +221,7 @@
 	}
 	d.departure.countSend()
 	d.sentAt, d.outputAt, d.survived = time.Now(), time.Time{}, false
+	d.sentSinceBoot = d.gateway.exchanger.quarantine.now()
 	return true
 }
 
@@ -253,6 +256,9 @@
 			return false, d.timedOut()
 		}
 		d.gateway.registry.RecordOutcome(id, OutcomeUnreachable)
+		if hasEnded(err) {
+			d.gateway.recordCrash(d.upstream, uncertainTime, err)
+		}
 		d.log("No connection.", id, err)
 		return true, nil
 	}
@@ -333,14 +339,28 @@
 func (d *dispatcher) recordLostRun() {
 	d.logLostRun()
 	d.gateway.metrics.lostRuns.Inc()
+	d.gateway.exchanger.quarantine.recordLostRun(d.lostRun())
+	d.gateway.recordCrash(d.upstream, sameCrashTime, &LostRunError{Request: d.request.ID})
+	d.gateway.exchanger.exchangeSoon()
+}
+
+// lostRun returns the current run, for the case that it was lost.
+func (d *dispatcher) lostRun() quarantine.LostRun {
 	run := quarantine.LostRun{
 		ID: runID(d.request.ID, d.runs), Upstream: d.upstream.ID, StartedMS: d.upstream.StartedMS, Request: d.keys.request,
 	}
 	if d.outputAt.IsZero() || time.Since(d.outputAt) < answeredAfter {
 		run.Segments = d.keys.segments
 	}
-	d.gateway.exchanger.quarantine.recordLostRun(run)
-	d.gateway.exchanger.exchangeSoon()
+	return run
+}
+
+// LostRunError reports that the connection of another run at the upstream was lost.
+type LostRunError struct{ Request string }
+
+// Error implements error.
+func (e *LostRunError) Error() string {
+	return "the run of " + e.Request + " was lost at the same time"
 }
 
 func (d *dispatcher) log(message, id string, err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	shutdown    *shutdown
+	// uncertainEnds are responses of which it is not known whether they were complete.
+	uncertainEnds *uncertainEnds
 }
 
 // New returns a gateway that is idle until Run.
@@ -94,6 +96,7 @@
 		config: &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
 	g.config.replica.OnChange = g.config.apply
+	g.uncertainEnds = newUncertainEnds()
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
 	g.elector = &lease.Elector{
 		Started: clock.SinceBoot(), Host: s.Host, Address: s.PeerListen, Store: options.Committer, Log: options.Log,
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -65,17 +65,19 @@
 }
 
 // recordLostRun records a run that was lost now.
-func (q *requestQuarantine) recordLostRun(run quarantine.LostRun) {
+func (q *requestQuarantine) recordLostRun(run quarantine.LostRun) { q.recordLostRunAt(q.now(), run) }
+
+// recordLostRunAt records a run that was lost at a time on the boot clock.
+func (q *requestQuarantine) recordLostRunAt(at time.Duration, run quarantine.LostRun) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.now()
-	q.own.Record(now, now, run)
+	q.own.Record(q.now(), at, run)
 	for _, key := range append(slices.Clone(run.Segments), run.Request) {
-		if at, ok := q.answers.At(key); ok {
-			q.own.Answered(at, key)
+		if answeredAt, ok := q.answers.At(key); ok {
+			q.own.Answered(answeredAt, key)
 		}
 	}
-	q.lost = append(q.lost, reportedRun{LostRun: run, at: now, informed: noEpoch})
+	q.lost = append(q.lost, reportedRun{LostRun: run, at: at, informed: noEpoch})
 	if len(q.lost) > maxLostRuns {
 		q.lost = slices.Delete(q.lost, 0, len(q.lost)-maxLostRuns)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -67,12 +67,16 @@
 	return false, nil
 }
 
-// recordSuccess records a complete response. One that ends with its connection does not show
-// that the upstream has not crashed.
+// recordSuccess records a complete response. One that ends with its connection is complete
+// only if that end was not a crash of the upstream, which shows later.
 func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
-	if response.HasEnd() && response.Status < http.StatusMultipleChoices {
+	switch {
+	case response.Status >= http.StatusMultipleChoices:
+	case response.HasEnd():
 		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
+	default:
+		d.recordUncertainEnd()
 	}
 }
 
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -69,6 +69,17 @@
 	r.notifyChanged()
 }
 
+// isLeaving reports whether an upstream has said that it leaves, itself or in its entry.
+func (r *Registry) isLeaving(upstream *catalog.Upstream) bool {
+	if r.statements.Leaving(statement.IncarnationOf(upstream)) {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := r.entries[upstream.ID]
+	return entry != nil && entry.StartedMS == upstream.StartedMS && entry.Draining
+}
+
 // BeginSend reports whether a request may be sent to an upstream now. It is called right
 // before the first byte.
 func (r *Registry) BeginSend(upstream *catalog.Upstream) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -162,3 +162,36 @@
 	}
 	return optionErr
 }
+
+// settleTime is the time that a new connection to an upstream is watched by Probe: a proxy
+// accepts connections whose upstream has ended, and closes them.
+const settleTime = 50 * time.Millisecond
+
+// ClosedError reports that a new connection was closed before anything was sent.
+type ClosedError struct{ Address string }
+
+// Error implements error.
+func (e *ClosedError) Error() string { return "new connection to " + e.Address + " was closed" }
+
+// Probe reports whether an upstream accepts connections: nil if it does. It keeps the
+// connection that it opens. Errors are DialError and ClosedError.
+func (p *Pool) Probe(ctx context.Context, key, address string) error {
+	if idle := p.take(key, ""); idle != nil {
+		p.put(key, idle)
+		return nil
+	}
+	opened, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(settleTime):
+	}
+	if !opened.isReusable() {
+		opened.close()
+		return &ClosedError{Address: address}
+	}
+	p.putUnused(key, opened)
+	return nil
+}
