Quarantine: crashes that are minutes apart add up

Cause: crashRetention was one minute, so a segment or request that crashes upstreams less often than three times a minute was never quarantined.

Change: a crash counts for 30 minutes, at the coordinator and in what hosts tell a new one (at most 256 lost runs per exchange). A key is suspected for a minute after its last crash, so that hosts are asked anew after a later one. Answers are remembered for at least 15 minutes instead of 10 s, and those of segments apart from those of requests: an answer between two crashes has to be known when the third one comes.

Conclusion: three crashes within 30 minutes without an answer lead to a quarantine.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// lostRunRetention is how long a lost run is reported to new coordinators.
-	lostRunRetention = time.Minute
+	// lostRunRetention is how long a lost run is reported to new coordinators: as long as it
+	// counts there.
+	lostRunRetention = 30 * time.Minute
 	// maxLostRuns bounds the lost runs that are kept for reports; the oldest are dropped.
 	maxLostRuns = 1024
 	// answeredAfter is the time of output after which an upstream has survived the
@@ -28,8 +29,10 @@
 // lost at this host to the coordinator, which decides for all hosts; a host without a
 // coordinator decides from its own lost runs. It is safe for concurrent use.
 type requestQuarantine struct {
-	now     func() time.Duration // the boot clock
-	answers quarantine.Answers
+	now func() time.Duration // the boot clock
+	// answers are those of segments, requestAnswers those of requests, of which there are
+	// many more.
+	answers, requestAnswers quarantine.Answers
 
 	mu   sync.Mutex
 	own  *quarantine.Tracker // of the runs lost at this host
@@ -73,7 +76,7 @@
 	defer q.mu.Unlock()
 	q.own.Record(q.now(), at, run)
 	for _, key := range append(slices.Clone(run.Segments), run.Request) {
-		if answeredAt, ok := q.answers.At(key); ok {
+		if answeredAt, ok := q.answeredAt(key); ok {
 			q.own.Answered(answeredAt, key)
 		}
 	}
@@ -89,12 +92,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	q.answers.Record(now, keys.all()...)
+	q.answers.Record(now, keys.segments...)
+	q.requestAnswers.Record(now, keys.request)
 	for _, key := range keys.all() {
 		q.own.Answered(now, key)
 	}
 }
 
+// answeredAt returns when a key was answered last.
+func (q *requestQuarantine) answeredAt(key quarantine.Key) (time.Duration, bool) {
+	if at, ok := q.answers.At(key); ok {
+		return at, true
+	}
+	return q.requestAnswers.At(key)
+}
+
 // find returns the key for which a request is refused the longest, and for how long; 0: it is
 // not quarantined. coordinated reports whether a coordinator decides.
 func (q *requestQuarantine) find(keys quarantineKeys, coordinated bool) (found quarantine.Key, remaining time.Duration) {
@@ -124,7 +136,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now, all := q.now(), keys.all()
-	if slices.ContainsFunc(all, func(key quarantine.Key) bool { return q.suspected[key] && !q.answers.Lately(now, key) }) {
+	if slices.ContainsFunc(all, func(key quarantine.Key) bool {
+		return q.suspected[key] && !q.answers.Lately(now, key) && !q.requestAnswers.Lately(now, key)
+	}) {
 		return true
 	}
 	if coordinated {
--- a/internal/gateway/quarantine_report.go
+++ b/internal/gateway/quarantine_report.go
@@ -24,6 +24,9 @@
 	quarantines []coordinator.Quarantine
 }
 
+// maxReportedRuns bounds the lost runs of one exchange; the others follow with the next ones.
+const maxReportedRuns = 256
+
 // report returns what the coordinator that replied last does not know yet.
 func (q *requestQuarantine) report() quarantineReport {
 	q.mu.Lock()
@@ -32,7 +35,7 @@
 	q.lost = slices.DeleteFunc(q.lost, func(run reportedRun) bool { return now-run.at > lostRunRetention })
 	report := quarantineReport{epoch: q.epoch}
 	for _, run := range q.lost {
-		if run.informed != q.epoch {
+		if run.informed != q.epoch && len(report.lost) < maxReportedRuns {
 			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
 		}
 	}
@@ -49,7 +52,7 @@
 }
 
 func (r *quarantineReport) addAnswer(q *requestQuarantine, now time.Duration, key quarantine.Key) {
-	if at, ok := q.answers.At(key); ok {
+	if at, ok := q.answeredAt(key); ok {
 		r.answered = append(r.answered, coordinator.Answered{Key: key, AgeMS: (now - at).Milliseconds()})
 	}
 }
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -5,10 +5,15 @@
 	"time"
 )
 
-// maxAnswers bounds the keys of one generation of answers.
-const maxAnswers = 8192
+const (
+	// maxAnswers bounds the keys of one generation of answers.
+	maxAnswers = 8192
+	// generationTime is the time after which a generation of answers is followed by the next.
+	generationTime = crashRetention / 2
+)
 
-// Answers remembers which keys were answered at this host lately, for at least answerWindow.
+// Answers remembers which keys were answered at this host, for at least generationTime, or
+// until maxAnswers others were answered.
 // It is safe for concurrent use.
 type Answers struct {
 	mu                sync.Mutex
@@ -20,7 +25,7 @@
 func (a *Answers) Record(now time.Duration, keys ...Key) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current == nil || now-a.rotatedAt > answerWindow || len(a.current) >= maxAnswers {
+	if a.current == nil || now-a.rotatedAt > generationTime || len(a.current) >= maxAnswers {
 		a.current, a.previous, a.rotatedAt = map[Key]time.Duration{}, a.current, now
 	}
 	for _, key := range keys {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -149,7 +149,7 @@
 		}
 	}
 	for key, e := range t.evidence {
-		suspected := len(e.crashes) >= suspicionThreshold && t.holds[key] == nil && !t.isAnswered(key, e)
+		suspected := len(e.crashes) >= suspicionThreshold && now-e.last(1) <= suspicionTime && t.holds[key] == nil && !t.isAnswered(key, e)
 		if suspected && !e.suspected {
 			e.suspectedAt = now
 		}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -17,8 +17,12 @@
 	// suspicionThreshold is the number of crashes from which hosts are asked whether a key
 	// was answered.
 	suspicionThreshold = 2
-	// crashRetention is how long a crash counts.
-	crashRetention = time.Minute
+	// suspicionTime is how long after its last crash a key is suspected. After a later crash,
+	// hosts are asked anew, as it may have been answered between.
+	suspicionTime = time.Minute
+	// crashRetention is how long a crash counts: what crashes an upstream every few minutes
+	// is quarantined, too.
+	crashRetention = 30 * time.Minute
 	// crashSpan is the time within which the runs that one crash ends are lost. Later ones
 	// at the same incarnation are those of another crash.
 	crashSpan = 2 * time.Second
--- a/internal/retry/segments.go
+++ b/internal/retry/segments.go
@@ -21,7 +21,7 @@
 	// minTold is the shortest rest of a quarantine of which peers are told. It exceeds the
 	// time that a message takes, so that hosts do not tell each other of it without end.
 	minTold = time.Second
-	// crashMemory is how long the time of a crash is remembered; older crashes count no more.
+	// crashMemory is how long the time of a crash is remembered: longer than it is reported.
 	crashMemory = time.Minute
 	// maxReported bounds each list of a report to peers, maxSegments the segments of a run:
 	// of long conversations the latest messages are kept.
