Quarantine: its end is one trial of the fleet

Cause: a quarantine ended at the same moment on all hosts, and each let every request through until the next crash was known to it: 8 to 10 requests reached upstreams, 3 are allowed.

Change: after its time a key is still refused, but for one request at a time at the host that the coordinator names among those that have one (TrialsWanted, Trials in the exchange; Trial, Deputy, FailedTrials in a quarantine). A request that may be tried waits up to 0.6 s to be named. A crash renews the quarantine (2 min, then 16 min), and so does a trial that is silent for 3 s, takes over 20 s or ends without an outcome; one that was not used changes nothing, and only an answer lifts a quarantine. A new coordinator begins no trial in its first 2 s and takes over those that run. After 20 s without a coordinator the key's deputy, by rendezvous order of host names as last told, runs the trials; a quarantine that a host has decided alone has none. A trial is one run: it gets no second upstream.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -49,10 +49,30 @@
 	AgeMS int64          `json:"age_ms"` // time since the latest answer
 }
 
-// Quarantine is a key that all hosts refuse.
+// Quarantine is a key that all hosts refuse, except for its trial.
 type Quarantine struct {
-	Key         quarantine.Key `json:"key"`
-	RemainingMS int64          `json:"remaining_ms"`
+	Key          quarantine.Key `json:"key"`
+	RemainingMS  int64          `json:"remaining_ms"` // 0: it has ended, and only a trial may run
+	FailedTrials int            `json:"failed_trials,omitempty"`
+	Trial        *Trial         `json:"trial,omitempty"` // nil: none may take place
+	// Deputy is the host that may run trials if there is no coordinator.
+	Deputy string `json:"deputy,omitempty"`
+}
+
+// Trial is a run of one request with a quarantined key, at one host.
+type Trial struct {
+	// Without are groups of keys; the request must have no key of one of them. None: any
+	// request.
+	Without [][]quarantine.Key `json:"without,omitempty"`
+	Host    string             `json:"host,omitempty"` // that may run the request; "": none yet
+	ID      uint64             `json:"id,omitempty"`
+}
+
+// TrialReport is what a host knows of its trial.
+type TrialReport struct {
+	Key     quarantine.Key          `json:"key"`
+	ID      uint64                  `json:"id"`
+	Outcome quarantine.TrialOutcome `json:"outcome"` // 0 running, 1 answered, 2 lost, 3 unused, 4 unknown
 }
 
 // ExchangeRequest is a host's periodic report to the coordinator.
@@ -77,6 +97,10 @@
 	Answered []Answered `json:"answered,omitempty"`
 	// Quarantines are those that the coordinator before has decided.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// TrialsWanted are quarantined keys of which the host has a request that may be tried.
+	TrialsWanted []quarantine.Key `json:"trials_wanted,omitempty"`
+	// Trials are the host's trials of which the coordinator may not know the outcome.
+	Trials []TrialReport `json:"trials,omitempty"`
 	// Leaving are upstreams that told the host that they leave.
 	Leaving []Incarnation `json:"leaving,omitempty"`
 	// Paused are upstreams that told the host to send nothing for some time.
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -1,12 +1,26 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
+	"github.com/arbutusbank/arbutusbank/internal/rendezvous"
+)
+
+const (
+	// trialSettleTime is the time from the first exchange of a term to its first trial: until
+	// then hosts report the trials that the coordinator before has begun.
+	trialSettleTime = 2 * time.Second
+	// maxTrialsWanted bounds the keys for which one exchange asks for a trial.
+	maxTrialsWanted = 64
+	// deputyInterval is how long a deputy stays the same, so that it is not computed for each
+	// reply.
+	deputyInterval = 2 * time.Second
 )
 
 // consultedHostTimeout is the time without an exchange after which a host is not waited for
@@ -19,6 +33,14 @@
 	tracker   *quarantine.Tracker
 	log       logr.Logger
 	exchanges map[string]exchangeTimes // by host
+	startedAt time.Duration            // first exchange; 0: none yet
+	deputies  map[quarantine.Key]deputy
+}
+
+// deputy is the host that may run trials of a key if there is no coordinator.
+type deputy struct {
+	host string
+	at   time.Duration
 }
 
 // exchangeTimes are the times of a host's last two exchanges. The reply to the first named
@@ -26,14 +48,17 @@
 type exchangeTimes struct{ previous, latest time.Duration }
 
 func newCrashReports(log logr.Logger) *crashReports {
-	return &crashReports{tracker: quarantine.NewTracker(), log: log, exchanges: map[string]exchangeTimes{}}
+	return &crashReports{tracker: quarantine.NewTracker(), log: log, exchanges: map[string]exchangeTimes{}, deputies: map[quarantine.Key]deputy{}}
 }
 
 // record applies a host's reports.
 func (r *crashReports) record(now time.Duration, request *ExchangeRequest) {
+	if r.startedAt == 0 {
+		r.startedAt = now
+	}
 	r.exchanges[request.Host] = exchangeTimes{previous: r.exchanges[request.Host].latest, latest: now}
 	for _, q := range request.Quarantines {
-		r.tracker.Adopt(quarantine.Quarantine{Key: q.Key, Until: now + milliseconds(q.RemainingMS)})
+		r.tracker.Adopt(quarantine.Quarantine{Key: q.Key, Until: now + milliseconds(q.RemainingMS), FailedTrials: max(0, q.FailedTrials)})
 	}
 	for _, lost := range request.LostRuns {
 		r.tracker.Record(now, now-milliseconds(lost.AgeMS), lost.LostRun)
@@ -41,6 +66,15 @@
 	for _, answered := range request.Answered {
 		r.tracker.Answered(now-milliseconds(answered.AgeMS), answered.Key)
 	}
+	for _, trial := range request.Trials {
+		r.tracker.ReportTrial(now, request.Host, trial.Key, trial.ID, trial.Outcome)
+	}
+	if now-r.startedAt < trialSettleTime {
+		return
+	}
+	for _, key := range request.TrialsWanted[:min(len(request.TrialsWanted), maxTrialsWanted)] {
+		r.tracker.BeginTrial(now, r.consulted(now), request.Host, key)
+	}
 }
 
 // milliseconds converts a number of another host, which must not be negative.
@@ -68,12 +102,45 @@
 // reply adds what crashes upstreams to a reply.
 func (r *crashReports) reply(now time.Duration, reply *ExchangeReply) {
 	consulted := r.consulted(now)
-	for _, q := range r.tracker.Quarantined(now, consulted) {
-		reply.Quarantines = append(reply.Quarantines, Quarantine{Key: q.Key, RemainingMS: (q.Until - now).Milliseconds()})
-	}
+	reply.Quarantines = r.quarantines(now, consulted)
 	reply.Suspected = r.tracker.Suspected(now, consulted)
 	for _, d := range r.tracker.TakeDecisions() {
 		r.log.Info("Quarantine decided.", "key", strconv.FormatUint(uint64(d.Key), 16), "request", d.Request, "lifted", d.Lifted,
 			"crashes", d.Crashes, "for_ms", max(0, d.Until-now).Milliseconds())
 	}
 }
+
+// quarantines returns the quarantined keys, and those that only trials may run.
+func (r *crashReports) quarantines(now, consulted time.Duration) []Quarantine {
+	trials := map[quarantine.Key]*Trial{}
+	var list []Quarantine
+	held := r.tracker.Quarantined(now, consulted)
+	isHeld := make(map[quarantine.Key]bool, len(held))
+	for _, q := range held {
+		isHeld[q.Key] = true
+	}
+	for _, t := range r.tracker.Trials(now, consulted) {
+		trials[t.Key] = &Trial{Without: t.Without, Host: t.Host, ID: t.ID}
+		if !isHeld[t.Key] {
+			list = append(list, Quarantine{Key: t.Key, FailedTrials: t.FailedTrials, Trial: trials[t.Key], Deputy: r.deputy(now, t.Key)})
+		}
+	}
+	for _, q := range held {
+		list = append(list, Quarantine{
+			Key: q.Key, RemainingMS: (q.Until - now).Milliseconds(), FailedTrials: q.FailedTrials, Trial: trials[q.Key], Deputy: r.deputy(now, q.Key),
+		})
+	}
+	return list
+}
+
+// deputy returns the host that may run trials of a key if there is no coordinator.
+func (r *crashReports) deputy(now time.Duration, key quarantine.Key) string {
+	if known, ok := r.deputies[key]; ok && now-known.at < deputyInterval {
+		return known.host
+	}
+	maps.DeleteFunc(r.deputies, func(_ quarantine.Key, d deputy) bool { return now-d.at > 2*deputyInterval })
+	hosts := slices.Collect(maps.Keys(r.exchanges))
+	host := rendezvous.Owner("trial "+strconv.FormatUint(uint64(key), 16), hosts)
+	r.deputies[key] = deputy{host: host, at: now}
+	return host
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -70,6 +70,11 @@
 		inbound: in, ctx: ctx, tried: map[string]bool{},
 		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
 	}
+	defer func() {
+		if in.trial != nil {
+			in.trial.ran = d.runs > 0
+		}
+	}()
 	in.gateway.exchanger.retryBudget.RecordRequest(in.startedAt, in.service.Name)
 	if d.isEngine() {
 		in.gateway.exchanger.demand.recordArrival(d.modelKey, d.request.Adapter)
@@ -330,9 +335,9 @@
 // canContinue reports whether another run can continue where the caller's copy ends.
 func (d *dispatcher) canContinue() bool { return !d.relay.started || d.relay.lastEventID != "" }
 
-// isSuspected reports whether the request may crash a second upstream.
+// isSuspected reports whether the request may crash a second upstream. A trial is one run.
 func (d *dispatcher) isSuspected() bool {
-	return d.gateway.exchanger.quarantine.isSuspected(d.keys, d.gateway.exchanger.Reached())
+	return d.trial != nil || d.gateway.exchanger.quarantine.isSuspected(d.keys, d.gateway.exchanger.Reached())
 }
 
 // recordLostRun records a run that may have crashed its upstream.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -205,6 +205,7 @@
 		Demand: e.demand.takeDemand(time.Now()), Running: e.registry.RunningCounts(),
 		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Tables: map[string]int64{},
 		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
+		TrialsWanted: report.wanted, Trials: report.trials,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 	}
 	for name, replica := range e.replicas {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,7 @@
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
 	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.exchanger.quarantine.host = s.Host
 	g.metrics = newMetrics(g)
 	return g
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -60,7 +60,8 @@
 	charged     bool
 	body        []byte
 	keys        quarantineKeys
-	deadline    time.Time // the earlier of the caller's deadline and the route's timeout
+	trial       *requestTrial // of the request's keys; nil: none
+	deadline    time.Time     // the earlier of the caller's deadline and the route's timeout
 	record      accessRecord
 	departure   departure
 }
@@ -73,6 +74,7 @@
 	stopObserving := in.departure.observe(r.Context(), in.startedAt)
 	defer func() {
 		stopObserving()
+		g.exchanger.quarantine.finishTrial(in.trial)
 		in.finish()
 	}()
 	if g.draining.Load() {
@@ -207,15 +209,19 @@
 	if in.keys.request == 0 {
 		in.keys = newQuarantineKeys(in)
 	}
-	key, remaining := exchanger.quarantine.find(in.keys, exchanger.Reached())
-	if remaining <= 0 {
+	var a admission
+	a, in.trial = exchanger.quarantine.admit(in.keys, exchanger.Reached(), in.trial)
+	if len(a.wanted) > 0 {
+		a = in.waitForTrial(a)
+	}
+	if a.remaining <= 0 {
 		return nil
 	}
 	reason := "request crashes upstreams"
-	if i := slices.Index(in.keys.segments, key); i >= 0 {
+	if i := slices.Index(in.keys.segments, a.key); i >= 0 {
 		reason = "prompt segment " + in.request.PromptSegments[i].ID + " crashes upstreams"
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: remaining}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: a.remaining}
 }
 
 // charge takes the request's cost from the workspace's allowance, waiting for a grant
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
 
@@ -29,7 +30,8 @@
 // lost at this host to the coordinator, which decides for all hosts; a host without a
 // coordinator decides from its own lost runs. It is safe for concurrent use.
 type requestQuarantine struct {
-	now func() time.Duration // the boot clock
+	now  func() time.Duration // the boot clock
+	host string
 	// answers are those of segments, requestAnswers those of requests, of which there are
 	// many more.
 	answers, requestAnswers quarantine.Answers
@@ -38,8 +40,12 @@
 	own  *quarantine.Tracker // of the runs lost at this host
 	lost []reportedRun
 	// decided are the quarantines of the coordinator, suspected the keys that it asks about.
-	decided   map[quarantine.Key]time.Duration // end of the quarantine
+	decided   map[quarantine.Key]*decidedQuarantine
 	suspected map[quarantine.Key]bool
+	trials    map[quarantine.Key]*hostTrial // of this host
+	wanted    map[quarantine.Key]time.Duration
+	waiting   map[quarantine.Key]bool // a request waits for a trial
+	repliedAt time.Duration           // last reply of a coordinator
 	watched   map[*watchedRun]struct{}
 	epoch     int64 // of the coordinator that replied last
 	informed  int64 // epoch of the coordinator that knows this host's quarantines
@@ -59,11 +65,21 @@
 // Error implements error.
 func (e *QuarantinedRunError) Error() string { return "cancelled: the request is quarantined" }
 
+// decidedQuarantine is a quarantine that the coordinator has decided. Until the next reply,
+// its end does not end the refusal.
+type decidedQuarantine struct {
+	until  time.Duration
+	failed int                // trials
+	trial  *coordinator.Trial // nil: none may take place
+	deputy string             // host that may run trials if there is no coordinator
+}
+
 func newRequestQuarantine() *requestQuarantine {
 	return &requestQuarantine{
 		now: clock.SinceBoot, own: quarantine.NewTracker(),
-		decided: map[quarantine.Key]time.Duration{}, suspected: map[quarantine.Key]bool{}, epoch: noEpoch, informed: noEpoch,
-		watched: map[*watchedRun]struct{}{},
+		decided: map[quarantine.Key]*decidedQuarantine{}, suspected: map[quarantine.Key]bool{}, epoch: noEpoch, informed: noEpoch,
+		watched: map[*watchedRun]struct{}{}, trials: map[quarantine.Key]*hostTrial{}, wanted: map[quarantine.Key]time.Duration{},
+		waiting: map[quarantine.Key]bool{},
 	}
 }
 
@@ -80,6 +96,7 @@
 			q.own.Answered(answeredAt, key)
 		}
 	}
+	q.endTrials(run.Request, quarantine.TrialLost)
 	q.lost = append(q.lost, reportedRun{LostRun: run, at: at, informed: noEpoch})
 	if len(q.lost) > maxLostRuns {
 		q.lost = slices.Delete(q.lost, 0, len(q.lost)-maxLostRuns)
@@ -97,6 +114,7 @@
 	for _, key := range keys.all() {
 		q.own.Answered(now, key)
 	}
+	q.endTrials(keys.request, quarantine.TrialAnswered)
 }
 
 // answeredAt returns when a key was answered last.
@@ -112,22 +130,8 @@
 func (q *requestQuarantine) find(keys quarantineKeys, coordinated bool) (found quarantine.Key, remaining time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.now()
-	all := keys.all()
-	for _, key := range all {
-		if left := q.decided[key] - now; left > remaining {
-			found, remaining = key, left
-		}
-	}
-	if coordinated {
-		return found, remaining
-	}
-	for _, own := range q.own.Quarantined(now, now) {
-		if left := own.Until - now; left > remaining && slices.Contains(all, own.Key) {
-			found, remaining = own.Key, left
-		}
-	}
-	return found, remaining
+	a := q.check(keys, coordinated, nil)
+	return a.key, a.remaining
 }
 
 // isSuspected reports whether a request has something in common with requests whose
@@ -171,8 +175,8 @@
 
 // QuarantineDump is a quarantine in the state dump.
 type QuarantineDump struct {
-	Key         string `json:"key"` // hexadecimal, as in logs
-	RemainingMS int64  `json:"remaining_ms"`
+	Key         string `json:"key"`          // hexadecimal, as in logs
+	RemainingMS int64  `json:"remaining_ms"` // 0: only trials may run
 }
 
 // count returns the number of quarantines that the coordinator has decided.
@@ -188,8 +192,8 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	dump := []QuarantineDump{}
-	for key, until := range q.decided {
-		dump = append(dump, QuarantineDump{Key: strconv.FormatUint(uint64(key), 16), RemainingMS: (until - now).Milliseconds()})
+	for key, d := range q.decided {
+		dump = append(dump, QuarantineDump{Key: strconv.FormatUint(uint64(key), 16), RemainingMS: max(0, d.until-now).Milliseconds()})
 	}
 	slices.SortFunc(dump, func(a, b QuarantineDump) int { return strings.Compare(a.Key, b.Key) })
 	return dump
--- a/internal/gateway/quarantine_report.go
+++ b/internal/gateway/quarantine_report.go
@@ -22,6 +22,8 @@
 	lost        []coordinator.LostRun
 	answered    []coordinator.Answered
 	quarantines []coordinator.Quarantine
+	wanted      []quarantine.Key
+	trials      []coordinator.TrialReport
 }
 
 // maxReportedRuns bounds the lost runs of one exchange; the others follow with the next ones.
@@ -39,15 +41,17 @@
 			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
 		}
 	}
-	for key, until := range q.decided {
+	for key, d := range q.decided {
 		report.addAnswer(q, now, key)
-		if q.informed != q.epoch && until > now {
-			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: (until - now).Milliseconds()})
+		if q.informed != q.epoch {
+			remaining := max(0, d.until-now).Milliseconds()
+			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: remaining, FailedTrials: d.failed})
 		}
 	}
 	for key := range q.suspected {
 		report.addAnswer(q, now, key)
 	}
+	q.reportTrials(now, &report)
 	return report
 }
 
@@ -64,7 +68,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	q.epoch = reply.Epoch
+	q.epoch, q.repliedAt = reply.Epoch, now
 	if report.epoch == reply.Epoch {
 		q.confirm(report)
 	}
@@ -73,11 +77,14 @@
 		clear(q.decided)
 	}
 	for _, decided := range reply.Quarantines {
-		q.decided[decided.Key] = now + time.Duration(decided.RemainingMS)*time.Millisecond
-		if known[decided.Key] <= now {
+		q.decided[decided.Key] = &decidedQuarantine{
+			until: now + time.Duration(decided.RemainingMS)*time.Millisecond, failed: decided.FailedTrials, trial: decided.Trial, deputy: decided.Deputy,
+		}
+		if before := known[decided.Key]; decided.RemainingMS > 0 && (before == nil || before.until <= now) {
 			q.cancelRuns(decided.Key)
 		}
 	}
+	q.applyTrials(now)
 	for _, key := range reply.Suspected {
 		unknown = unknown || !q.suspected[key]
 	}
@@ -85,6 +92,7 @@
 	for _, key := range reply.Suspected {
 		q.suspected[key] = true
 	}
+	q.dropOwn(now)
 	return unknown
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -109,3 +109,20 @@
 		t.Error("a segment that was answered long ago is not suspected")
 	}
 }
+
+// Guards against requests that every host lets through as soon as the time of a quarantine
+// has passed by its own clock.
+func TestClockDoesNotEndAQuarantine(t *testing.T) {
+	now := time.Hour
+	q := quarantineAt(&now)
+	keys := quarantineKeys{request: 1, segments: []quarantine.Key{7}}
+	for range 2 {
+		q.apply(q.report(), &coordinator.ExchangeReply{Epoch: 1, Quarantines: []coordinator.Quarantine{{Key: 7, RemainingMS: 1000}}})
+	}
+	now += 1001 * time.Millisecond
+	for _, coordinated := range []bool{true, false} {
+		if key, _ := q.find(keys, coordinated); key != 7 {
+			t.Errorf("coordinated %v: not refused at the end, before the coordinator has decided", coordinated)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/quarantine_trials.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/quarantine"
+)
+
+const (
+	// trialRetryAfter is the time after which a request is to come back that is refused while
+	// the trial of another one runs.
+	trialRetryAfter = time.Second
+	// trialWait is how long a request that may be tried waits for the coordinator to name
+	// this host: one exchange, also in a large fleet.
+	trialWait = 600 * time.Millisecond
+	// trialWaitStep is the interval at which it looks.
+	trialWaitStep = 20 * time.Millisecond
+	// unusedTrialTime is how long a trial waits for a request.
+	unusedTrialTime = 2 * time.Second
+	// maxTrialWait is how long after its begin the request of a trial may still be sent. It is
+	// shorter than the time after which the coordinator counts the trial as ended.
+	maxTrialWait = 15 * time.Second
+	// trialOutcomeTime is how long after the end of its request a trial waits for an outcome.
+	trialOutcomeTime = time.Second
+	// deputyDelay is how long a host has to be without a coordinator before it runs trials as
+	// a deputy: those that the coordinator has begun have ended.
+	deputyDelay = 20 * time.Second
+)
+
+// hostTrial is a trial at this host.
+type hostTrial struct {
+	id      uint64        // given by the coordinator; 0: this host's own
+	begunAt time.Duration // when this host learned of it
+	request quarantine.Key
+	// outcomeBy is the time after which the outcome is unknown; 0: the request has not ended.
+	outcomeBy time.Duration
+	outcome   quarantine.TrialOutcome
+}
+
+// isOpen reports whether a request may still use the trial.
+func (t *hostTrial) isOpen(now time.Duration) bool {
+	return t.outcome == quarantine.TrialRunning && t.request == 0 && now-t.begunAt <= unusedTrialTime
+}
+
+// requestTrial is a request's part in the trials of its keys.
+type requestTrial struct {
+	trials map[quarantine.Key]*hostTrial
+	ran    bool // the request may have run
+	// uncertain reports that it is known later whether the response was complete.
+	uncertain bool
+}
+
+// admission is the decision on a request.
+type admission struct {
+	key       quarantine.Key // for which the request is refused
+	remaining time.Duration  // until it may come back; 0: it is not refused
+	wanted    []quarantine.Key
+	open      map[quarantine.Key]*hostTrial // trials that the request may use
+}
+
+func (a *admission) refuse(key quarantine.Key, remaining time.Duration) {
+	if remaining > a.remaining {
+		a.key, a.remaining = key, remaining
+	}
+}
+
+// check decides on a request; of is its part in trials, nil if it has none. It requires q.mu.
+func (q *requestQuarantine) check(keys quarantineKeys, coordinated bool, of *requestTrial) admission {
+	now := q.now()
+	var a admission
+	for _, key := range keys.all() {
+		d := q.decided[key]
+		if d == nil || q.isTrying(now, key, of) {
+			continue
+		}
+		if d.until > now && (d.trial == nil || !keys.tellsApart(d.trial.Without)) {
+			a.refuse(key, d.until-now)
+			continue
+		}
+		if !coordinated {
+			q.beginAsDeputy(now, key, d)
+		}
+		q.checkTrial(now, key, &a)
+	}
+	if !coordinated {
+		q.checkOwn(now, keys, of, &a)
+	}
+	return a
+}
+
+// tellsApart reports whether a request has no key of at least one group.
+func (k quarantineKeys) tellsApart(groups [][]quarantine.Key) bool {
+	return slices.ContainsFunc(groups, func(group []quarantine.Key) bool { return !slices.ContainsFunc(group, k.has) })
+}
+
+// isTrying reports whether a request runs as the trial of a key.
+func (q *requestQuarantine) isTrying(now time.Duration, key quarantine.Key, of *requestTrial) bool {
+	if of == nil || of.trials[key] == nil {
+		return false
+	}
+	t := of.trials[key]
+	return q.trials[key] == t && t.outcome == quarantine.TrialRunning && now-t.begunAt <= maxTrialWait
+}
+
+// checkTrial lets a request use the trial of a key, or refuses it.
+func (q *requestQuarantine) checkTrial(now time.Duration, key quarantine.Key, a *admission) {
+	if t := q.trials[key]; t != nil && t.isOpen(now) {
+		if a.open == nil {
+			a.open = map[quarantine.Key]*hostTrial{}
+		}
+		a.open[key] = t
+		return
+	}
+	a.wanted = append(a.wanted, key)
+	a.refuse(key, trialRetryAfter)
+}
+
+// checkOwn decides by the lost runs of this host. Nothing is tried after the end of a
+// quarantine that only this host has decided: it does not know the others' quarantines.
+// A request that tells segments apart may run.
+func (q *requestQuarantine) checkOwn(now time.Duration, keys quarantineKeys, of *requestTrial, a *admission) {
+	trials := map[quarantine.Key]quarantine.Trial{}
+	for _, trial := range q.own.Trials(now, now) {
+		trials[trial.Key] = trial
+		if len(trial.Without) == 0 && keys.has(trial.Key) && q.decided[trial.Key] == nil {
+			a.refuse(trial.Key, trialRetryAfter)
+		}
+	}
+	for _, own := range q.own.Quarantined(now, now) {
+		if !keys.has(own.Key) || q.isTrying(now, own.Key, of) {
+			continue
+		}
+		trial := trials[own.Key]
+		if !keys.tellsApart(trial.Without) {
+			a.refuse(own.Key, own.Until-now)
+			continue
+		}
+		q.beginOwnTrial(now, own.Key)
+		q.checkTrial(now, own.Key, a)
+	}
+}
+
+func (k quarantineKeys) has(key quarantine.Key) bool {
+	return key == k.request || slices.Contains(k.segments, key)
+}
+
+// beginAsDeputy begins a trial without a coordinator, if this host is the one that may.
+func (q *requestQuarantine) beginAsDeputy(now time.Duration, key quarantine.Key, d *decidedQuarantine) {
+	if d.deputy != q.host || q.host == "" || now-q.repliedAt < deputyDelay {
+		return
+	}
+	q.beginOwnTrial(now, key)
+}
+
+// beginOwnTrial begins a trial that no coordinator has named, unless one is in progress.
+func (q *requestQuarantine) beginOwnTrial(now time.Duration, key quarantine.Key) {
+	if t := q.trials[key]; t == nil || t.outcome != quarantine.TrialRunning || t.request == 0 {
+		q.trials[key] = &hostTrial{begunAt: now}
+	}
+}
+
+// admit decides on a request, and lets it use the trials that it needs.
+func (q *requestQuarantine) admit(keys quarantineKeys, coordinated bool, of *requestTrial) (a admission, trial *requestTrial) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a = q.check(keys, coordinated, of)
+	if a.remaining > 0 || len(a.open) == 0 {
+		if a.remaining > trialRetryAfter || len(a.wanted) == 0 {
+			a.wanted = nil // another key refuses the request anyway
+		}
+		return a, of
+	}
+	trial = &requestTrial{trials: a.open}
+	if of != nil {
+		for key, t := range of.trials {
+			trial.trials[key] = t
+		}
+	}
+	for _, t := range a.open {
+		t.request = keys.request
+	}
+	return a, trial
+}
+
+// beginWait makes a request that may be tried wait for the coordinator. It reports false if
+// another one waits already.
+func (q *requestQuarantine) beginWait(keys []quarantine.Key) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(keys) == 0 || slices.ContainsFunc(keys, func(key quarantine.Key) bool { return q.waiting[key] }) {
+		return false
+	}
+	for _, key := range keys {
+		q.waiting[key], q.wanted[key] = true, q.now()
+	}
+	return true
+}
+
+func (q *requestQuarantine) endWait(keys []quarantine.Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, key := range keys {
+		delete(q.waiting, key)
+		delete(q.wanted, key)
+	}
+}
+
+// finishTrial records that the request of a trial has ended.
+func (q *requestQuarantine) finishTrial(of *requestTrial) {
+	if of == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range of.trials {
+		switch {
+		case t.outcome != quarantine.TrialRunning:
+		case of.ran:
+			t.outcomeBy = q.now() + trialOutcomeTime
+			if of.uncertain {
+				t.outcomeBy = q.now() + uncertainTime
+			}
+		default:
+			t.outcome = quarantine.TrialUnused
+		}
+	}
+}
+
+// endTrials records the outcome of the trials that a request has run as. It requires q.mu.
+func (q *requestQuarantine) endTrials(request quarantine.Key, outcome quarantine.TrialOutcome) {
+	now := q.now()
+	for key, t := range q.trials {
+		if t.request != request || t.outcome != quarantine.TrialRunning {
+			continue
+		}
+		t.outcome = outcome
+		if t.id == 0 {
+			q.endOwnTrial(now, key, outcome)
+		}
+	}
+}
+
+// endOwnTrial applies the outcome of a trial that no coordinator has begun.
+func (q *requestQuarantine) endOwnTrial(now time.Duration, key quarantine.Key, outcome quarantine.TrialOutcome) {
+	d := q.decided[key]
+	switch {
+	case d == nil:
+	case outcome == quarantine.TrialAnswered:
+		delete(q.decided, key)
+	default:
+		d.failed++
+		d.until = now + quarantine.DurationAfter(d.failed)
+	}
+	q.own.EndTrial(now, key, outcome)
+}
+
+// reportTrials adds this host's trials to a report.
+func (q *requestQuarantine) reportTrials(now time.Duration, report *quarantineReport) {
+	for key, at := range q.wanted {
+		if now-at <= trialWait {
+			report.wanted = append(report.wanted, key)
+		}
+	}
+	for key, t := range q.trials {
+		if t.outcome == quarantine.TrialRunning {
+			switch {
+			case t.request == 0 && now-t.begunAt > unusedTrialTime:
+				t.outcome = quarantine.TrialUnused
+			case t.outcomeBy > 0 && now > t.outcomeBy:
+				t.outcome = quarantine.TrialUnknown
+				if t.id == 0 {
+					q.endOwnTrial(now, key, t.outcome)
+				}
+			}
+		}
+		if t.id != 0 {
+			report.trials = append(report.trials, coordinator.TrialReport{Key: key, ID: t.id, Outcome: t.outcome})
+		}
+	}
+}
+
+// applyTrials learns the trials that the coordinator has named this host for, and forgets
+// those that it knows to have ended.
+func (q *requestQuarantine) applyTrials(now time.Duration) {
+	for key, d := range q.decided {
+		if d.trial == nil || d.trial.Host != q.host || d.trial.ID == 0 {
+			continue
+		}
+		if t := q.trials[key]; t == nil || t.id != d.trial.ID {
+			q.trials[key] = &hostTrial{id: d.trial.ID, begunAt: now}
+		}
+	}
+	for key, t := range q.trials {
+		d := q.decided[key]
+		named := d != nil && d.trial != nil && d.trial.ID == t.id
+		if !named && t.outcome != quarantine.TrialRunning {
+			delete(q.trials, key)
+		}
+	}
+}
+
+// dropOwn clears the quarantines that this host would decide alone, unless the coordinator
+// has decided or may still decide them: it knows all lost runs, and the answers of all hosts.
+func (q *requestQuarantine) dropOwn(now time.Duration) {
+	if slices.ContainsFunc(q.lost, func(run reportedRun) bool { return run.informed != q.epoch }) {
+		return
+	}
+	drop := func(key quarantine.Key) {
+		if q.decided[key] == nil && !q.suspected[key] {
+			q.own.Answered(now, key)
+		}
+	}
+	for _, own := range q.own.Quarantined(now, now) {
+		drop(own.Key)
+	}
+	for _, trial := range q.own.Trials(now, now) {
+		drop(trial.Key)
+	}
+}
+
+// waitForTrial waits for the coordinator to name this host for the trial of a request, and
+// decides anew.
+func (in *inbound) waitForTrial(a admission) admission {
+	e := in.gateway.exchanger
+	if !e.Reached() || !e.quarantine.beginWait(a.wanted) {
+		return a
+	}
+	defer e.quarantine.endWait(a.wanted)
+	e.exchangeSoon()
+	for until := time.Now().Add(min(trialWait, time.Until(in.deadline))); time.Now().Before(until) && len(a.wanted) > 0; {
+		if !clock.Sleep(in.httpRequest.Context(), trialWaitStep) {
+			break
+		}
+		a, in.trial = e.quarantine.admit(in.keys, e.Reached(), in.trial)
+	}
+	return a
+}
--- a/internal/gateway/uncertain_ends.go
+++ b/internal/gateway/uncertain_ends.go
@@ -132,6 +132,9 @@
 func (d *dispatcher) recordUncertainEnd() {
 	g, of := d.gateway, d.upstream
 	end := uncertainEnd{run: d.lostRun(), keys: d.keys, at: g.exchanger.quarantine.now()}
+	if d.trial != nil {
+		d.trial.uncertain = true
+	}
 	if g.uncertainEnds.add(incarnationOf(of), end) {
 		time.AfterFunc(probeDelay, func() {
 			if err := confine.Call("look at an upstream", func() error { g.probe(of); return nil }); err != nil {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -29,7 +29,7 @@
 	t.reviewHolds(now)
 	for _, key := range t.candidates(now, consulted) {
 		if e := t.evidence[key]; !t.isExplained(e) {
-			h := &hold{until: e.last(1) + initialQuarantine, duration: initialQuarantine}
+			h := newHold(e.last(1)+initialQuarantine, 0)
 			t.hold(key, h)
 			t.decide(Decision{Key: key, Request: e.isRequest(), Crashes: len(e.crashes), Until: h.until})
 		}
@@ -68,15 +68,17 @@
 		e := t.evidence[key]
 		answeredAt, answered := t.answers[key]
 		switch {
-		case answered && answeredAt > h.until, now > h.until+probationTime:
+		case answered && answeredAt > h.until:
+			delete(t.holds, key)
+			t.decide(Decision{Key: key, Lifted: true})
+		case now > h.until+probationTime:
 			delete(t.holds, key)
 		case e == nil:
 		case t.isAnswered(key, e):
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Request: e.isRequest(), Lifted: true, Crashes: len(e.crashes)})
 		case e.last(1) > h.until:
-			h.duration = min(2*h.duration, maxQuarantine)
-			h.until = e.last(1) + h.duration
+			h.renew(e.last(1))
 			t.decide(Decision{Key: key, Request: e.isRequest(), Crashes: len(e.crashes), Until: h.until})
 		default:
 			h.until = max(h.until, e.last(1)+h.duration)
@@ -142,12 +144,17 @@
 
 // publish computes the lists of quarantined and suspected keys.
 func (t *Tracker) publish(now time.Duration) {
-	t.quarantined, t.suspected = nil, nil
+	t.quarantined, t.suspected, t.trials = nil, nil, nil
 	for key, h := range t.holds {
+		t.endSilentTrial(now, key, h)
 		if now <= h.until {
-			t.quarantined = append(t.quarantined, Quarantine{Key: key, Until: h.until})
+			t.quarantined = append(t.quarantined, Quarantine{Key: key, Until: h.until, FailedTrials: h.failed})
+		}
+		if offer, open := t.offer(now, key, h); open {
+			t.trials = append(t.trials, offer)
 		}
 	}
+	slices.SortFunc(t.trials, func(a, b Trial) int { return cmp.Compare(a.Key, b.Key) })
 	for key, e := range t.evidence {
 		suspected := len(e.crashes) >= suspicionThreshold && now-e.last(1) <= suspicionTime && t.holds[key] == nil && !t.isAnswered(key, e)
 		if suspected && !e.suspected {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -31,12 +31,14 @@
 	answerWindow = 10 * time.Second
 	// maxConsultation bounds the wait for the answers that hosts know of.
 	maxConsultation = time.Second
-	// initialQuarantine is how long a key is quarantined after its last crash. It doubles
-	// with each further crash after its end, up to maxQuarantine.
+	// initialQuarantine is how long a key is quarantined after its last crash. The first
+	// failed trial doubles it, the second makes it maxQuarantine: three requests in half an
+	// hour reach upstreams after the crashes that led to the quarantine.
 	initialQuarantine = time.Minute
 	maxQuarantine     = 16 * time.Minute
-	// probationTime is how long after the end of a quarantine one crash renews it.
-	probationTime = 10 * time.Minute
+	// probationTime is how long after the end of a quarantine its key is refused except for
+	// trials. A key that nobody requests any more is forgotten then.
+	probationTime = time.Hour
 	// maxCrashes, maxRunsPerCrash and maxSegments bound what is kept. The oldest crash, and
 	// the first segments of a prompt, are dropped.
 	maxCrashes      = 128
@@ -68,10 +70,11 @@
 	Segments []Key `json:"segments,omitempty"`
 }
 
-// Quarantine is a key that hosts refuse until a time.
+// Quarantine is a key that hosts refuse until a time, and after it except for trials.
 type Quarantine struct {
-	Key   Key
-	Until time.Duration
+	Key          Key
+	Until        time.Duration
+	FailedTrials int
 }
 
 // Decision is a change of the quarantines, for logs.
@@ -112,6 +115,32 @@
 type hold struct {
 	until    time.Duration
 	duration time.Duration
+	failed   int    // trials and other runs after the end that crashed an upstream
+	unknown  int    // trials without an outcome since the last failed one
+	trial    *trial // in progress; nil: none
+}
+
+func newHold(until time.Duration, failed int) *hold {
+	return &hold{until: until, failed: failed, duration: DurationAfter(failed)}
+}
+
+// DurationAfter returns how long a quarantine lasts after a number of failed trials.
+func DurationAfter(failed int) time.Duration {
+	switch failed {
+	case 0:
+		return initialQuarantine
+	case 1:
+		return 2 * initialQuarantine
+	default:
+		return maxQuarantine
+	}
+}
+
+// renew begins the quarantine anew after a failed trial.
+func (h *hold) renew(at time.Duration) {
+	h.failed++
+	h.unknown, h.trial, h.duration = 0, nil, DurationAfter(h.failed)
+	h.until = at + h.duration
 }
 
 // Tracker collects lost runs and answers. It is not safe for concurrent use.
@@ -125,6 +154,8 @@
 	changed     bool
 	consulting  bool // a key would be quarantined if all hosts had been asked
 	quarantined []Quarantine
+	trials      []Trial
+	lastTrial   uint64
 	suspected   []Key
 	decisions   []Decision // not yet taken
 }
@@ -225,9 +256,12 @@
 	t.changed = true
 	if h := t.holds[q.Key]; h != nil {
 		h.until = max(h.until, q.Until)
+		if q.FailedTrials > h.failed {
+			h.failed, h.duration = q.FailedTrials, DurationAfter(q.FailedTrials)
+		}
 		return
 	}
-	t.hold(q.Key, &hold{until: q.Until, duration: initialQuarantine})
+	t.hold(q.Key, newHold(q.Until, q.FailedTrials))
 }
 
 func (t *Tracker) hold(key Key, h *hold) {
--- /dev/null
+++ b/internal/quarantine/trials.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import "time"
+
+const (
+	// maxUnknownTrials is the number of early trials without an outcome that count as a failed
+	// one: their requests may have crashed upstreams. After the end of a quarantine each one
+	// counts, as its request has all that the crashes had in common.
+	maxUnknownTrials = 2
+	// trialSilence is the time after which a trial ends of which its host says nothing.
+	trialSilence = 3 * time.Second
+	// maxTrialTime bounds a trial.
+	maxTrialTime = 20 * time.Second
+)
+
+// Trial is a quarantined key of which one request at a time may run, at the host that the
+// trial names, to find out whether the key still crashes upstreams.
+type Trial struct {
+	Key Key
+	// Without is empty after the end of the quarantine. Before it, only requests may be tried
+	// that have no key of at least one of these groups: each group explains the crashes as
+	// well, and a request that has none of it tells them apart.
+	Without [][]Key
+	Host    string // that may run a request; "": none yet
+	ID      uint64 // of the trial in progress
+	// FailedTrials is the number of trials that crashed an upstream.
+	FailedTrials int
+}
+
+// TrialOutcome is what a host knows of its trial.
+type TrialOutcome uint8
+
+// Outcomes of a trial.
+const (
+	TrialRunning  TrialOutcome = iota // no outcome yet
+	TrialAnswered                     // the request was answered
+	TrialLost                         // the run was lost
+	TrialUnused                       // no request was sent
+	TrialUnknown                      // the request ended in another way
+)
+
+// trial is a trial in progress.
+type trial struct {
+	id                 uint64
+	host               string
+	startedAt, heardAt time.Duration
+}
+
+// Trials returns the quarantined keys that are open for a trial.
+func (t *Tracker) Trials(now, consulted time.Duration) []Trial {
+	t.refresh(now, consulted)
+	return t.trials
+}
+
+// offer returns the trial of a quarantine, if one may take place.
+func (t *Tracker) offer(now time.Duration, key Key, h *hold) (offer Trial, open bool) {
+	offer = Trial{Key: key, FailedTrials: h.failed}
+	if now <= h.until {
+		return offer, false
+	}
+	if h.trial != nil {
+		offer.Host, offer.ID = h.trial.host, h.trial.id
+	}
+	return offer, true
+}
+
+// BeginTrial names a host that has a request with a quarantined key as the one that may run
+// it, unless a trial of the key is in progress or none may take place.
+func (t *Tracker) BeginTrial(now, consulted time.Duration, host string, key Key) {
+	t.refresh(now, consulted)
+	h := t.holds[key]
+	if h == nil {
+		return
+	}
+	t.endSilentTrial(now, key, h)
+	offer, open := t.offer(now, key, h)
+	if !open || offer.Host != "" {
+		return
+	}
+	// A number from the clock differs from those that the trackers before have used.
+	t.lastTrial = max(t.lastTrial+1, uint64(now.Microseconds()))
+	h.trial = &trial{id: t.lastTrial, host: host, startedAt: now, heardAt: now}
+	t.changed = true
+}
+
+// ReportTrial records what a host says of its trial. A trial in progress that another
+// tracker has begun goes on.
+func (t *Tracker) ReportTrial(now time.Duration, host string, key Key, id uint64, outcome TrialOutcome) {
+	h := t.holds[key]
+	if h == nil {
+		return
+	}
+	if h.trial == nil && outcome == TrialRunning {
+		h.trial = &trial{id: id, host: host, startedAt: now, heardAt: now}
+		t.changed = true
+		return
+	}
+	if h.trial == nil || h.trial.id != id || h.trial.host != host {
+		return
+	}
+	t.changed = true
+	switch outcome {
+	case TrialRunning:
+		h.trial.heardAt = now
+	case TrialAnswered:
+		h.trial = nil
+		t.Answered(now, key)
+	case TrialLost:
+		t.failTrial(now, key, h)
+	case TrialUnknown:
+		t.endUnknownTrial(now, key, h)
+	default:
+		h.trial = nil
+	}
+}
+
+// EndTrial records the outcome of a trial that a host has run without asking: it decides
+// alone. An answer is recorded by Answered.
+func (t *Tracker) EndTrial(now time.Duration, key Key, outcome TrialOutcome) {
+	h := t.holds[key]
+	if h == nil {
+		return
+	}
+	switch outcome {
+	case TrialLost:
+		t.failTrial(now, key, h)
+	case TrialUnknown:
+		t.endUnknownTrial(now, key, h)
+	default:
+		return
+	}
+	t.changed = true
+}
+
+// endSilentTrial ends a trial whose host has stopped, or that takes too long. Its outcome is
+// unknown.
+func (t *Tracker) endSilentTrial(now time.Duration, key Key, h *hold) {
+	if h.trial != nil && (now-h.trial.heardAt > trialSilence || now-h.trial.startedAt > maxTrialTime) {
+		t.endUnknownTrial(now, key, h)
+	}
+}
+
+func (t *Tracker) endUnknownTrial(now time.Duration, key Key, h *hold) {
+	h.trial = nil
+	h.unknown++
+	if h.unknown >= maxUnknownTrials || now > h.until {
+		t.failTrial(now, key, h)
+	}
+}
+
+func (t *Tracker) failTrial(now time.Duration, key Key, h *hold) {
+	h.renew(now)
+	decision := Decision{Key: key, Until: h.until}
+	if e := t.evidence[key]; e != nil {
+		decision.Request, decision.Crashes = e.isRequest(), len(e.crashes)
+	}
+	t.decide(decision)
+}
