Quarantine: a sound segment behind a crashing one is cleared by a trial

Cause: of segments with the same crashes the deepest was blamed unless it had been answered in the 10 s before.

Change: a segment that no host knows to have answered, however long ago, is blamed before one that was answered. Before a quarantine ends, the coordinator lets requests be tried that tell segments apart: they lack another unanswered segment that explains the same crashes, or all of those that explain them together. An answer clears what the request has, and the other segment is quarantined in the same evaluation. Two failed trials end this. A host that decides alone does the same for its own quarantines.

Of segments that nothing tells apart the deepest is still blamed first, not the earliest: TestDeepestCommonSegmentIsQuarantined and two others require it, and the earliest is the one that most sound requests share.

TestSegmentAnsweredBeforeIsNotBlamed fails before.

--- a/internal/gateway/quarantine_trials_test.go
+++ b/internal/gateway/quarantine_trials_test.go
@@ -169,3 +169,38 @@
 		}
 	}
 }
+
+// Guards against a host without a coordinator that lets requests through at the end of a
+// quarantine that only it knows of, and against refusing there what another segment explains.
+func TestOwnQuarantineWithoutACoordinator(t *testing.T) {
+	now := time.Hour
+	q := quarantineAt(&now)
+	q.host = "a"
+	for i := range uint64(3) {
+		q.recordLostRun(lostRun(i, int64(i), quarantine.Key(100+i), 6, 7))
+	}
+	bad := quarantineKeys{request: 1, segments: []quarantine.Key{6, 7}}
+	sound := quarantineKeys{request: 2, segments: []quarantine.Key{7}}
+	now += time.Second
+	if a, _ := q.admit(bad, false, nil); a.remaining == 0 {
+		t.Error("a request with both segments was admitted")
+	}
+	a, trial := q.admit(sound, false, nil)
+	if a.remaining != 0 || trial == nil {
+		t.Fatalf("the request without the other segment was refused for %v", a.remaining)
+	}
+	if a, _ = q.admit(sound, false, nil); a.remaining == 0 {
+		t.Error("two trials at a time")
+	}
+	trial.ran = true
+	q.recordAnswer(sound)
+	q.finishTrial(trial)
+	now += time.Second
+	if a, _ = q.admit(sound, false, nil); a.remaining != 0 {
+		t.Errorf("refused for %v after the trial was answered", a.remaining)
+	}
+	now += 2 * time.Minute
+	if a, _ = q.admit(bad, false, nil); a.remaining == 0 {
+		t.Error("admitted at the end of the quarantine")
+	}
+}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -92,9 +92,12 @@
 	return ok && at > e.last(crashThreshold)-answerWindow
 }
 
-// candidates returns the keys with enough crashes to be quarantined, those of most crashes
-// first. Of keys with equally many the deepest comes first: the segments before it are
-// shared by more requests, so it says best what the crashes have in common.
+// candidates returns the keys with enough crashes to be quarantined. Those come first that
+// are not known to have been answered, however long ago; then those of most crashes; of
+// equally many the deepest: the segments before it are shared by more requests, so it says
+// best what the crashes have in common. If a sound segment stands
+// only behind the one that crashes upstreams, this takes it for that one until a trial with a
+// request that lacks one of the two has been answered.
 func (t *Tracker) candidates(now, consulted time.Duration) []Key {
 	var keys []Key
 	t.consulting = false
@@ -111,7 +114,8 @@
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
 		x, y := t.evidence[a], t.evidence[b]
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(y.depth, x.depth), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(min(t.answers[a], 1), min(t.answers[b], 1)), cmp.Compare(len(y.crashes), len(x.crashes)),
+			cmp.Compare(t.answers[a], t.answers[b]), cmp.Compare(y.depth, x.depth), cmp.Compare(a, b))
 	})
 	return keys
 }
@@ -145,6 +149,7 @@
 // publish computes the lists of quarantined and suspected keys.
 func (t *Tracker) publish(now time.Duration) {
 	t.quarantined, t.suspected, t.trials = nil, nil, nil
+	t.unanswered = t.unansweredSegments()
 	for key, h := range t.holds {
 		t.endSilentTrial(now, key, h)
 		if now <= h.until {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -157,6 +157,7 @@
 	trials      []Trial
 	lastTrial   uint64
 	suspected   []Key
+	unanswered  []Key      // segments with crashes, in the order of prompts; computed with trials
 	decisions   []Decision // not yet taken
 }
 
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -1,8 +1,15 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
+	// maxEarlyTrials is the number of failed trials after which none takes place before the
+	// end of a quarantine.
+	maxEarlyTrials = 2
 	// maxUnknownTrials is the number of early trials without an outcome that count as a failed
 	// one: their requests may have crashed upstreams. After the end of a quarantine each one
 	// counts, as its request has all that the crashes had in common.
@@ -11,6 +18,9 @@
 	trialSilence = 3 * time.Second
 	// maxTrialTime bounds a trial.
 	maxTrialTime = 20 * time.Second
+	// maxWithout bounds the groups of keys of which the request of an early trial must have
+	// none, and the keys of a group.
+	maxWithout = 8
 )
 
 // Trial is a quarantined key of which one request at a time may run, at the host that the
@@ -56,7 +66,12 @@
 func (t *Tracker) offer(now time.Duration, key Key, h *hold) (offer Trial, open bool) {
 	offer = Trial{Key: key, FailedTrials: h.failed}
 	if now <= h.until {
-		return offer, false
+		if h.failed < maxEarlyTrials {
+			offer.Without = t.alternatives(key)
+		}
+		if len(offer.Without) == 0 {
+			return offer, false
+		}
 	}
 	if h.trial != nil {
 		offer.Host, offer.ID = h.trial.host, h.trial.id
@@ -64,6 +79,50 @@
 	return offer, true
 }
 
+// alternatives returns groups of segments that were not answered, each of which explains the
+// crashes of a segment as well as it does itself: single segments that stood in all of them,
+// and the others together if they leave too few crashes for a quarantine.
+func (t *Tracker) alternatives(key Key) [][]Key {
+	e := t.evidence[key]
+	if e == nil || e.isRequest() {
+		return nil
+	}
+	var groups [][]Key
+	var others []Key
+	left := e.crashes
+	for _, other := range t.unanswered {
+		o := t.evidence[other]
+		if other == key || o == nil {
+			continue
+		}
+		switch rest := without(e.crashes, o.crashes); {
+		case len(rest) == 0:
+			groups = append(groups, []Key{other})
+		case len(e.crashes)-len(rest) >= suspicionThreshold && len(others) < maxWithout:
+			others, left = append(others, other), without(left, o.crashes)
+		}
+	}
+	if len(others) > 0 && len(left) < crashThreshold {
+		groups = append(groups, others)
+	}
+	return groups[:min(len(groups), maxWithout)]
+}
+
+// unansweredSegments returns the segments that may be what crashes upstreams, in the order of
+// prompts.
+func (t *Tracker) unansweredSegments() []Key {
+	var keys []Key
+	for key, e := range t.evidence {
+		if !e.isRequest() && len(e.crashes) >= suspicionThreshold && !t.isAnswered(key, e) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(t.evidence[a].depth, t.evidence[b].depth), cmp.Compare(a, b))
+	})
+	return keys
+}
+
 // BeginTrial names a host that has a request with a quarantined key as the one that may run
 // it, unless a trial of the key is in progress or none may take place.
 func (t *Tracker) BeginTrial(now, consulted time.Duration, host string, key Key) {
--- a/internal/quarantine/trials_test.go
+++ b/internal/quarantine/trials_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -25,6 +26,63 @@
 	return s, start + initialQuarantine + time.Second
 }
 
+// Guards against refusing a sound segment that stands only behind the one that crashes
+// upstreams: as all hosts refuse it, nothing but a trial can clear it.
+func TestSegmentBehindTheCrashingOneIsCleared(t *testing.T) {
+	s := newScenario()
+	for i := range int64(3) {
+		s.lose(start, i, Key(100+i), first, bad, doc)
+	}
+	now := start + 2*time.Second
+	s.expect(t, now, "three crashes", doc)
+	trial, open := s.trial(now, doc)
+	if !open || len(trial.Without) != 2 || !slices.Equal(slices.Concat(trial.Without...), []Key{first, bad}) || trial.Host != "" {
+		t.Fatalf("trial %+v, %v; want one of requests without either of the other segments", trial, open)
+	}
+	s.BeginTrial(now, now, "a", doc)
+	s.BeginTrial(now, now, "b", doc)
+	if trial, _ = s.trial(now, doc); trial.Host != "a" {
+		t.Fatalf("trial at %q, want the first host that asked", trial.Host)
+	}
+	s.expect(t, now+time.Second, "the trial runs", doc)
+	now += 2 * time.Second
+	s.Answered(now, first)
+	s.ReportTrial(now, "a", doc, trial.ID, TrialAnswered)
+	s.expect(t, now, "the trial was answered", bad)
+}
+
+// Guards against refusing for long what two segments that crash upstreams at once, and crashes
+// of another cause, have in common.
+func TestSegmentBeforeTwoCrashingOnesIsCleared(t *testing.T) {
+	const other Key = 9
+	s := newScenario()
+	for i := range int64(3) {
+		s.lose(start, i, Key(100+i), first, bad)
+		s.lose(start, 10+i, Key(200+i), first, other)
+	}
+	s.lose(start, 20, 300, first)
+	now := start + 2*time.Second
+	s.expect(t, now, "seven crashes", first)
+	trial, open := s.trial(now, first)
+	if !open || len(trial.Without) != 1 || !slices.Equal(trial.Without[0], []Key{bad, other}) {
+		t.Fatalf("trial %+v, %v; want one of requests without both of the deeper segments", trial, open)
+	}
+	s.Answered(now, first)
+	s.expect(t, now, "the trial was answered", bad, other)
+}
+
+// Guards against taking a segment for the one that crashes upstreams that was answered some
+// time before, while another that explains the crashes never was.
+func TestSegmentAnsweredBeforeIsNotBlamed(t *testing.T) {
+	s := newScenario()
+	for i := range int64(3) {
+		s.lose(start, i, Key(100+i), bad, doc)
+		s.Answered(start-2*answerWindow, doc)
+	}
+	s.lose(start-time.Minute, 9, 200, doc)
+	s.expect(t, start+2*time.Second, "three crashes, and an earlier one of another cause", bad)
+}
+
 // Guards against a quarantine that ends on all hosts at once, so that each lets requests
 // through until a crash is known to all.
 func TestOneTrialEndsAQuarantine(t *testing.T) {
--- /dev/null
+++ b/tests/gateway/segment_behind_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Load: requests, no two alike, whose prompts have the segment "doc" behind the one that
+// crashes each engine; nobody has asked for "doc" lately. Sound requests with it come once
+// engines have crashed. Guards against refusing them for as long as the others come (check
+// LOST), and against trials that crash engines one after the other (check BUDGET).
+func TestSoundSegmentBehindTheCrashingOneIsServed(t *testing.T) {
+	c := newCrashingSegment(t, 3, 6)
+	end := time.Now().Add(12 * time.Second)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for i := 0; time.Now().Before(end); i++ {
+			group.Go(func() {
+				c.send(fmt.Sprintf("bad-%d", i), i, fmt.Sprintf("first:50,bad:20,doc:40,own%d:10", i))
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	time.Sleep(4 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		group.Go(func() { c.sendSound(i) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < 3 {
+		t.Fatalf("only %d crashes", len(c.crashes))
+	}
+	counted := c.crashes[min(len(c.crashes), maxCountedCrashes)-1]
+	if late := c.arrivals(counted.Add(contactTime)); late > maxLateArrivals {
+		t.Errorf("%d requests that crash engines reached one later than %v after the fifth crash; %d crashes", late, contactTime, len(c.crashes))
+	}
+	sent, served := 0, 0
+	for _, result := range c.sound {
+		if result.sentAt.After(counted.Add(2 * contactTime)) {
+			sent++
+			if result.status == 200 {
+				served++
+			}
+		}
+	}
+	t.Logf("%d crashes; %d of %d sound requests served", len(c.crashes), served, sent)
+	if sent < 20 || 2*served < sent {
+		t.Errorf("%d of %d sound requests served", served, sent)
+	}
+}
