Entry hosts: trials of quarantined segments

Cause: arbutusbank serve uses the same tracker. Its quarantines ended on all hosts at once, and a sound message behind a crashing one was refused until then. An answer was not told to the tracker once a segment was quarantined.

Change: requests are admitted by Segments.Admit. The trials of a segment run at one host, by rendezvous order of the live hosts, one at a time, also before the end with requests that tell segments apart. An answer clears quarantined segments, here and at peers.

Conclusion: the same rules at both kinds of hosts; without a coordinator, hosts that cannot reach each other may each own a trial.

--- a/internal/host/crashreport.go
+++ b/internal/host/crashreport.go
@@ -6,9 +6,15 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/peer/peerpb"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
+	"github.com/arbutusbank/arbutusbank/internal/rendezvous"
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 )
 
+// ownsTrials reports whether this host runs the trials of a quarantined segment.
+func (h *Host) ownsTrials(segment quarantine.Key) bool {
+	return rendezvous.Owner("trial "+strconv.FormatUint(uint64(segment), 16), h.liveHosts().all) == h.settings.Host
+}
+
 // crashReport returns what this host tells its peers of crashes; nil: nothing.
 func (h *Host) crashReport() *peerpb.CrashReport {
 	report := h.suspects.Segments().Export(h.clock.Now())
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -200,6 +200,7 @@
 		admission.Limits{Waiting: limits.QueueTotal, WaitingPerWorkspace: limits.QueuePerWorkspace}, h.registry)
 	h.tracker = routing.NewTracker(routing.DefaultIndexBlocks, h.settings.Host+"-", h.registry)
 	h.suspects = retry.NewSuspects(h.registry)
+	h.suspects.Segments().SetOwner(h.ownsTrials)
 	h.budgets = &retry.Budgets{}
 	h.claims = idempotency.NewStore(idempotency.Config{
 		Table: h.platform, Objects: h.platform, Clock: h.clock,
--- a/internal/inference/runner.go
+++ b/internal/inference/runner.go
@@ -111,8 +111,9 @@
 	reservation *quota.Reservation
 	tried       []string // addresses of the replicas tried since the request was last queued
 	mayHaveRun  bool
-	requeued    bool    // queued again at least once because no replica could take the request
-	usedTokens  float64 // tokens that the current attempt has used, as counted so far
+	trial       *retry.SegmentTrial // of the request's segments; nil: none
+	requeued    bool                // queued again at least once because no replica could take the request
+	usedTokens  float64             // tokens that the current attempt has used, as counted so far
 }
 
 // Run implements Runner.
@@ -124,6 +125,7 @@
 		fingerprint: retry.NewFingerprint(request.Workspace, request.Path, request.Body),
 		prefixes:    routing.PrefixHashes(weightsName(request.Model, request.Adapter), request.Prompt),
 	}
+	defer func() { x.trial.End(e.options.Clock.Now(), x.mayHaveRun) }()
 	if refusal := x.checkQuarantine(); refusal != nil {
 		return refusal
 	}
@@ -151,7 +153,7 @@
 	until, quarantined := x.options.Suspects.Quarantined(now, x.fingerprint)
 	if !quarantined {
 		detail = "upstreams crashed while they ran requests that share a message with this one"
-		until, quarantined = x.options.Suspects.Segments().Quarantined(now, x.request.Segments)
+		x.trial, until, quarantined = x.options.Suspects.Segments().Admit(now, x.request.Segments, x.trial)
 	}
 	if !quarantined {
 		return nil
@@ -335,7 +337,7 @@
 func (x *execution) mayCrashAgain() bool {
 	now := x.options.Clock.Now()
 	_, quarantined := x.options.Suspects.Quarantined(now, x.fingerprint)
-	return quarantined || x.options.Suspects.Segments().Suspected(now, x.request.Segments)
+	return quarantined || x.trial != nil || x.options.Suspects.Segments().Suspected(now, x.request.Segments)
 }
 
 // boolToBytes returns a count for retry.Attempt.BytesToCaller, of which only
--- a/internal/retry/segments.go
+++ b/internal/retry/segments.go
@@ -92,6 +92,8 @@
 	// suspectedAt is when a segment was last suspected. Peers are told of its answers, also
 	// after these have cleared it here.
 	suspectedAt map[quarantine.Key]time.Duration
+	trials      map[quarantine.Key]*segmentTrial // of this host
+	owns        func(segment quarantine.Key) bool
 }
 
 // reportedRun is a run that is reported to peers.
@@ -104,6 +106,7 @@
 func newSegments() *Segments {
 	return &Segments{
 		tracker: quarantine.NewTracker(), crashedAt: map[Crash]time.Duration{}, suspectedAt: map[quarantine.Key]time.Duration{},
+		trials: map[quarantine.Key]*segmentTrial{},
 	}
 }
 
@@ -194,7 +197,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answers.Record(s.since(now), segments...)
+	at := s.since(now)
+	s.answers.Record(at, segments...)
+	s.recordTrialAnswers(at, segments)
 }
 
 // bootNumber returns the number by which the tracker knows a boot ID.
