--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,7 +11,9 @@
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 )
 
 const (
@@ -52,6 +54,9 @@
 	Upstreams() []*catalog.Upstream
 	// Paused reports whether an upstream told this host to send nothing now.
 	Paused(upstream *catalog.Upstream) bool
+	// Evacuated reports whether nothing more is to be sent to the upstreams of a data
+	// centre.
+	Evacuated(dataCenter string) bool
 }
 
 // Coordinator places models, sends orders to engines and answers host exchanges while this
@@ -70,12 +75,15 @@
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
 	crashReports  *crashReports
+	paces         *pace.Collector
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
 	storeStarts   []time.Duration
 	estimates     []Estimate
 	poolHosts     []PoolHost
 	leaving       []Incarnation // upstreams that told a host that they leave
+	cold          []coldUntil   // upstreams that a host was told are cold
+	coldDivider   *coldstart.Divider
 	actions       sync.WaitGroup
 }
 
@@ -105,9 +113,11 @@
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
 	c.crashReports = newCrashReports(c.log)
+	c.paces = pace.NewCollector()
 	c.estimates = nil
 	c.poolHosts = nil
-	c.leaving = nil
+	c.leaving, c.cold = nil, nil
+	c.coldDivider = coldstart.NewDivider(c.now(), first)
 }
 
 // Hosts returns the hosts that may spend from local shares.
@@ -128,11 +138,13 @@
 	defer c.mu.Unlock()
 	if request.Departed {
 		c.ledger.Remove(request.Host)
+		c.coldDivider.Depart(request.Host)
 		return &ExchangeReply{Holder: true, Epoch: epoch}
 	}
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
+	c.recordPaces(now, request)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
 			engine.suspected = true
@@ -152,16 +164,45 @@
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
+	c.replyCold(now, config, request, reply)
+	c.sharePaces(now, request.Epoch == epoch, request.PaceVersion, reply)
 	return reply
 }
 
-// slots returns the number of concurrent requests of an engine, or 0 for a plain service,
-// which is not part of the fleet and has few slots.
-func (c *Coordinator) slots(upstream string) int {
-	if engine := c.fleet[upstream]; engine != nil {
-		return engine.upstream.Slots
+// capacities returns a function that returns the number of concurrent requests of an engine
+// and its KV memory in tokens, or 0 for a plain service, which is not part of the fleet and has
+// few slots.
+func (c *Coordinator) capacities(config *catalog.Config) func(upstream string) (slots, memoryTokens int) {
+	return func(upstream string) (slots, memoryTokens int) {
+		engine := c.fleet[upstream]
+		if engine == nil {
+			return 0, 0
+		}
+		if service := config.Services[engine.upstream.Service]; service != nil && service.Engine != nil {
+			memoryTokens = service.Engine.MemoryTokens
+		}
+		return engine.upstream.Slots, memoryTokens
 	}
-	return 0
+}
+
+// Allowance grants to a host between its exchanges.
+func (c *Coordinator) Allowance(request *AllowanceRequest) *AllowanceReply {
+	if !c.lease.Held() {
+		return &AllowanceReply{}
+	}
+	config, now := c.fleetState.Config(), c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &AllowanceReply{Holder: true, Grants: map[string]allowance.Grant{}}
+	for name, need := range request.Needs {
+		if config == nil {
+			break
+		}
+		if workspace := config.Workspaces[name]; workspace != nil && workspace.Limited() {
+			reply.Grants[name] = c.ledger.ExchangePending(now, request.Host, workspace, need)
+		}
+	}
+	return reply
 }
 
 func (c *Coordinator) grants(now time.Duration, config *catalog.Config, request *ExchangeRequest) map[string]allowance.Grant {
@@ -218,7 +259,9 @@
 	c.demand.expire(now)
 	c.poolHosts = c.demand.poolHosts(c.host)
 	c.leaving = c.demand.leaving()
-	c.notableLoads = c.demand.notableLoads(c.slots)
+	c.cold = c.demand.cold()
+	c.notableLoads = c.demand.notableLoads(c.capacities(config))
+	c.paces.Refresh(now)
 	c.syncEngines(now, upstreams, config)
 	c.updateReachability()
 	c.startReports(ctx, now)
@@ -241,12 +284,12 @@
 		present[upstream.ID] = true
 		engine := c.fleet[upstream.ID]
 		if engine == nil || engine.upstream.StartedMS != upstream.StartedMS {
-			c.fleet[upstream.ID] = newEngineState(upstream)
-			continue
-		}
-		if engine.upstream != upstream {
+			engine = newEngineState(upstream)
+			c.fleet[upstream.ID] = engine
+		} else if engine.upstream != upstream {
 			engine.applyEntry(upstream)
 		}
+		engine.setEvacuated(c.fleetState.Evacuated(upstream.DataCenter))
 	}
 	for id := range c.fleet {
 		if !present[id] {
@@ -278,10 +321,14 @@
 		Now: now, Service: service, Demand: c.demand.forService(now, service.Name),
 		StoreStarts: c.storeLoadBudget(now, service.Engine), Prefetch: true,
 	}
+	c.demandOfEvacuated(service.Name, input.Demand)
 	running := c.demand.running()
 	for _, engine := range c.fleet {
 		if engine.upstream.Service == service.Name {
-			input.Engines = append(input.Engines, engine.plannerView(now, running[engine.upstream.ID]))
+			view := engine.plannerView(now, running[engine.upstream.ID])
+			view.ColdPerS = c.coldRate(now, engine, service)
+			view.Pace, _ = c.paces.Pace(now, pace.Incarnation{ID: engine.upstream.ID, StartedMS: engine.upstream.StartedMS})
+			input.Engines = append(input.Engines, view)
 		}
 	}
 	if _, ok := c.lease.MayOrder(orderDeliveryTime); ok {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	upstreams []*catalog.Upstream
+	evacuated map[string]bool // data centres
 }
 
 func (f *fakeFleetState) Config() *catalog.Config { return f.config }
@@ -43,6 +44,13 @@
 // Paused implements FleetState.
 func (f *fakeFleetState) Paused(*catalog.Upstream) bool { return false }
 
+// Evacuated implements FleetState.
+func (f *fakeFleetState) Evacuated(dataCenter string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated[dataCenter]
+}
+
 func (f *fakeFleetState) set(upstreams ...*catalog.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -455,8 +463,8 @@
 	}
 	tracker.record(0, &ExchangeRequest{Host: "h1", Running: counts(1, 2, 9)})
 	tracker.record(0, &ExchangeRequest{Host: "h2", Running: counts(1, 1, 1)})
-	slots := func(id string) int { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id] }
-	reported := tracker.excludeHost("h2", tracker.notableLoads(slots))
+	capacity := func(id string) (int, int) { return map[string]int{"e0": 16, "e1": 8, "e2": 64}[id], 0 }
+	reported := tracker.excludeHost("h2", tracker.notableLoads(capacity))
 	slices.SortFunc(reported, func(a, b RunningCount) int { return strings.Compare(a.Upstream, b.Upstream) })
 	if want := []RunningCount{{Upstream: "e1", Count: 2}, {Upstream: "e2", Count: 9}}; !slices.Equal(reported, want) {
 		t.Errorf("reported %+v, want %+v", reported, want)
@@ -581,3 +589,24 @@
 	state := &fakeFleetState{config: catalog.NewConfig(1, nil, []*catalog.Service{service}, catalog.Limits{})}
 	return New("host", &fakeLease{}, state, engine, logr.Discard()), engine
 }
+
+// Guards against telling the paces of upstreams to hosts that do not know them, and again to
+// hosts that have them.
+func TestPacesAreToldOnce(t *testing.T) {
+	c, _ := startCoordinator(t, 2)
+	slow := Incarnation{Upstream: "e1", StartedMS: 1}
+	c.Exchange(1, &ExchangeRequest{Host: "h1", Paces: []PaceSample{{slow, 4, 5}}})
+	time.Sleep(3 * planInterval)
+	earlier := c.Exchange(1, &ExchangeRequest{Host: "h2"})
+	first := c.Exchange(1, &ExchangeRequest{Host: "h3", Epoch: 1, PaceVersion: -1})
+	again := c.Exchange(1, &ExchangeRequest{Host: "h3", Epoch: 1, PaceVersion: first.PaceVersion})
+	if len(earlier.Paces) != 0 || len(again.Paces) != 0 || again.PaceVersion != first.PaceVersion {
+		t.Errorf("told to an earlier version %+v, again %+v", earlier.Paces, again.Paces)
+	}
+	if !first.PacesFull || len(first.Paces) != 1 || first.Paces[0].Incarnation != slow || first.Paces[0].Ratio < 3 {
+		t.Errorf("told %+v", first)
+	}
+	if factor, confidence := c.Pace(&catalog.Upstream{ID: "e1", StartedMS: 1}); factor < 2 || confidence < 0.5 {
+		t.Errorf("pace %.2f, confidence %.2f", factor, confidence)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,6 +71,7 @@
 // only if that end was not a crash of the upstream, which shows later.
 func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
+	d.gateway.registry.EndRun(d.run, response.Status < http.StatusMultipleChoices)
 	switch {
 	case response.Status >= http.StatusMultipleChoices:
 	case response.HasEnd():
@@ -180,10 +181,16 @@
 	d.relay.lastEventID = lastEventID(events, d.relay.lastEventID)
 	d.record.recordFirstEvent(d.startedAt)
 	d.recordOutput()
+	d.gateway.registry.RecordEvents(d.run, eventCount(events))
+	begun := time.Now()
 	if _, err := d.writer.Write(events); err != nil {
 		return err
 	}
-	return http.NewResponseController(d.writer).Flush()
+	err := http.NewResponseController(d.writer).Flush()
+	if time.Since(begun) > maxCallerWrite {
+		d.gateway.registry.RecordCallerDelay(d.run)
+	}
+	return err
 }
 
 // handleBrokenStream decides what follows a stream that ended early or holds bytes that
--- a/internal/gateway/uncertain_ends.go
+++ b/internal/gateway/uncertain_ends.go
@@ -122,7 +122,8 @@
 	return slices.DeleteFunc(ends, func(end uncertainEnd) bool { return sentAt-end.at > uncertainTime })
 }
 
-func incarnationOf(upstream *catalog.Upstream) coordinator.Incarnation {
+// startOf identifies the incarnation of an upstream.
+func startOf(upstream *catalog.Upstream) coordinator.Incarnation {
 	return coordinator.Incarnation{Upstream: upstream.ID, StartedMS: upstream.StartedMS}
 }
 
@@ -135,7 +136,7 @@
 	if d.trial != nil {
 		d.trial.uncertain = true
 	}
-	if g.uncertainEnds.add(incarnationOf(of), end) {
+	if g.uncertainEnds.add(startOf(of), end) {
 		time.AfterFunc(probeDelay, func() {
 			if err := confine.Call("look at an upstream", func() error { g.probe(of); return nil }); err != nil {
 				g.log.Error(err, "Look at an upstream failed.", "upstream", of.ID)
@@ -145,14 +146,17 @@
 }
 
 // probe finds out whether an upstream has ended. The connection that it opens serves the next
-// request.
+// request. Upstreams in evacuated data centres are left alone.
 func (g *Gateway) probe(of *catalog.Upstream) {
+	if g.registry.evacuations.at(g.registry.now).affects(of) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	at := g.exchanger.quarantine.now()
 	switch err := g.connections.Probe(ctx, of.ID, of.Address); {
 	case err == nil:
-		g.uncertainEnds.connected(incarnationOf(of), at)
+		g.uncertainEnds.connected(startOf(of), at)
 	case hasEnded(err):
 		g.recordCrash(of, uncertainTime, err)
 	}
@@ -168,7 +172,7 @@
 // it had said that it leaves.
 func (g *Gateway) recordCrash(of *catalog.Upstream, within time.Duration, cause error) {
 	q := g.exchanger.quarantine
-	ends := g.uncertainEnds.crashed(q.now(), incarnationOf(of), within)
+	ends := g.uncertainEnds.crashed(q.now(), startOf(of), within)
 	if len(ends) == 0 || g.registry.isLeaving(of) {
 		return
 	}
@@ -183,7 +187,7 @@
 // recordUpstreamAnswered records that an upstream answered a request that was sent at a time
 // on the boot clock.
 func (g *Gateway) recordUpstreamAnswered(of *catalog.Upstream, sentAt time.Duration) {
-	for _, end := range g.uncertainEnds.answered(incarnationOf(of), sentAt) {
+	for _, end := range g.uncertainEnds.answered(startOf(of), sentAt) {
 		g.exchanger.quarantine.recordAnswer(end.keys)
 	}
 }
