--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -276,6 +276,7 @@
 		if hasEnded(err) {
 			d.gateway.recordCrash(d.upstream, uncertainTime, err)
 		}
+		d.gateway.registry.learnUnreachable(id)
 		d.log("No connection.", id, err)
 		return true, nil
 	}
