--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	shutdown    *shutdown
+	// uncertainEnds are responses of which it is not known whether they were complete.
+	uncertainEnds *uncertainEnds
 }
 
 // New returns a gateway that is idle until Run.
@@ -97,6 +99,7 @@
 		config: &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
 	g.config.replica.OnChange = g.config.apply
+	g.uncertainEnds = newUncertainEnds()
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
@@ -133,6 +136,7 @@
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
 	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.exchanger.quarantine.host = s.Host
 	g.metrics = newMetrics(g)
 	return g
 }
