Gateway: steps of a request can run as a query

Cause: where a host would send a request now, and why, could only be found out by sending it. Change: match, authenticate, checkQuarantine, charge, the selection of an upstream and checkSend (part of send before) run as a query that has no effect: waits return a marked refusal, counts and reports are left out, balances and trials are previewed on copies. The expected time of a candidate is the sum of its parts, which Params.Explain returns.

--- a/internal/allowance/balances.go
+++ b/internal/allowance/balances.go
@@ -93,8 +93,26 @@
 func (b *Balances) Take(now time.Duration, w *catalog.Workspace, cost float64, patience time.Duration) Outcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(w.Name, now)
-	b.creditShare(a, w, now)
+	return b.account(w.Name, now).take(now, w, cost, patience)
+}
+
+// Preview returns what Take would return now, the time that Refuse would, and the state of
+// the account, without any effect.
+func (b *Balances) Preview(now time.Duration, w *catalog.Workspace, cost float64, patience time.Duration) (Outcome, time.Duration, Status) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := account{rateAt: now}
+	if known := b.accounts[w.Name]; known != nil {
+		a = *known
+	}
+	a.creditShare(w, now)
+	status := a.status(now)
+	outcome := a.take(now, w, cost, patience)
+	return outcome, a.refuse(now, cost), status
+}
+
+func (a *account) take(now time.Duration, w *catalog.Workspace, cost float64, patience time.Duration) Outcome {
+	a.creditShare(w, now)
 	if a.balance < cost {
 		if a.wait > patience || (a.withoutPool(now) && a.pending > a.share*maxPendingShareSeconds) {
 			return Exhausted
@@ -131,7 +149,10 @@
 func (b *Balances) Refuse(now time.Duration, w *catalog.Workspace, cost float64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(w.Name, now)
+	return b.account(w.Name, now).refuse(now, cost)
+}
+
+func (a *account) refuse(now time.Duration, cost float64) time.Duration {
 	a.refused = a.refused*math.Exp(-(now-a.refusedAt).Seconds()/refusalTimeConstant.Seconds()) + cost
 	a.refusedAt = now
 	hint := a.wait + waitFor(a.refused-cost, a.share)
@@ -151,7 +172,10 @@
 func (b *Balances) Status(now time.Duration, w *catalog.Workspace) Status {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(w.Name, now)
+	return b.account(w.Name, now).status(now)
+}
+
+func (a *account) status(now time.Duration) Status {
 	return Status{Balance: a.balance, Pending: a.pending, Share: a.share, Age: now - a.lastExchange, OnLocalShare: a.onShare}
 }
 
@@ -260,7 +284,7 @@
 			continue
 		}
 		a := b.account(w.Name, now)
-		b.creditShare(a, w, now)
+		a.creditShare(w, now)
 		if !a.onShare {
 			continue
 		}
@@ -310,7 +334,7 @@
 }
 
 // creditShare credits the local share while there is no contact to the coordinator.
-func (b *Balances) creditShare(a *account, w *catalog.Workspace, now time.Duration) {
+func (a *account) creditShare(w *catalog.Workspace, now time.Duration) {
 	silent := now - a.lastExchange
 	if a.share == 0 || silent < shareStartDelay {
 		return
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -37,6 +37,12 @@
 // in their last use and no other upstream has the model. Cold upstreams that may get no request now
 // are left out, too.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
+	return r.candidates(service, model, adapter, nil)
+}
+
+// candidates returns what Candidates does. A query, if there is one, learns of the upstreams
+// that are left out, and nothing is recorded.
+func (r *Registry) candidates(service, model, adapter string, query *routeQuery) []Candidate {
 	now, sinceBoot, paused := time.Now(), r.now(), r.pauses()
 	leaving, cold := r.evacuations.at(r.now), r.cold.states()
 	r.mu.Lock()
@@ -47,14 +53,19 @@
 	for id, entry := range r.entries {
 		adapters, ok := r.serves(entry, service, model, now)
 		if !ok || leaving.closed(entry) {
+			query.excludeUnserving(entry, service, ok)
 			continue
 		}
 		elsewhere = elsewhere || !leaving.affects(entry)
 		if paused.of(entry) > 0 {
+			query.exclude(entry, "paused")
 			continue
 		}
 		if cold[id].Blocked {
-			r.cold.want(id)
+			if query == nil {
+				r.cold.want(id)
+			}
+			query.exclude(entry, "cold")
 			continue
 		}
 		candidate := Candidate{
@@ -71,10 +82,16 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	r.candidateCount = len(candidates)
+	if query == nil {
+		r.candidateCount = len(candidates)
+	}
 	if elsewhere {
+		query.excludeEvacuated(leaving, candidates)
 		candidates = leaving.remove(candidates)
 	}
+	if r.arrange != nil {
+		r.arrange(candidates)
+	}
 	return candidates
 }
 
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -2,8 +2,8 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,6 +162,14 @@
 	}
 }
 
+// estimate returns the estimated time until a request may be sent to an upstream.
+func (c *coldUpstreams) estimate(id string) time.Duration {
+	now, reached := c.now(), c.reached()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.WaitTime(now, id, reached)
+}
+
 // fillCold adds what this host knows of cold upstreams, and asks for, to a report.
 func (r *Registry) fillCold(request *coordinator.ExchangeRequest) {
 	r.mu.Lock()
@@ -326,14 +334,30 @@
 		return false, nil
 	}
 	d.departure.enter(stageModel)
-	estimate, changed, done := registry.cold.wait(ids[rand.IntN(len(ids))])
+	slices.Sort(ids) // so that the same draw names the same upstream
+	id := ids[d.gateway.random.IntN(len(ids))]
+	if d.query != nil {
+		return d.waitForColdUpstream(registry.cold.estimate(id), nil)
+	}
+	estimate, changed, done := registry.cold.wait(id)
 	defer done()
 	d.gateway.exchanger.exchangeSoon()
+	return d.waitForColdUpstream(estimate, changed)
+}
+
+// waitForColdUpstream waits for a change of what cold upstreams may get. It returns a refusal
+// if the estimated time until one may get the request is too long.
+func (d *dispatcher) waitForColdUpstream(estimate time.Duration, changed <-chan struct{}) (waited bool, refused *refusal) {
 	left := min(max(d.route.Objective, minColdWait)-time.Since(d.startedAt), d.remainingWait())
 	if estimate > left {
-		d.gateway.metrics.coldRefusals.Inc()
+		if d.query == nil {
+			d.gateway.metrics.coldRefusals.Inc()
+		}
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams are cold", retryAfter: max(shortRetryAfter, estimate)}
 	}
+	if d.query != nil {
+		return false, wouldWait("all upstreams are cold", estimate)
+	}
 	timer := time.NewTimer(min(coldPollInterval, max(left, time.Millisecond)))
 	defer timer.Stop()
 	select {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -74,10 +74,7 @@
 	ctx, cancel := context.WithDeadline(in.httpRequest.Context(), in.deadline)
 	defer cancel()
 	defer in.gateway.shutdown.onEnd(cancel)()
-	d := &dispatcher{
-		inbound: in, ctx: ctx, tried: map[string]bool{},
-		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
-	}
+	d := in.newDispatcher(ctx)
 	defer func() {
 		if in.trial != nil {
 			in.trial.ran = d.runs > 0
@@ -106,6 +103,13 @@
 	}
 }
 
+func (in *inbound) newDispatcher(ctx context.Context) *dispatcher {
+	return &dispatcher{
+		inbound: in, ctx: ctx, tried: map[string]bool{},
+		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
+	}
+}
+
 func (d *dispatcher) isEngine() bool { return d.service.Engine != nil && d.request.Model != "" }
 
 // finalRefusal adjusts a refusal to the sends before it: 429 and 503 promise that the
@@ -127,19 +131,24 @@
 	return r
 }
 
-// send sends the request to one upstream. again reports that another attempt should
-// follow.
-func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
+// checkSend refuses a request that must not be sent, whatever the upstream.
+func (d *dispatcher) checkSend() *refusal {
 	if d.gateway.shutdown.tooLateToSend() {
-		return false, shuttingDown()
+		return shuttingDown()
 	}
 	if d.sends >= maxSends || d.dials >= maxDials || d.withheld >= maxWithheld {
-		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams refused", retryAfter: shortRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "upstreams refused", retryAfter: shortRetryAfter}
 	}
 	if d.sends > 0 && !d.gateway.exchanger.retryBudget.Allow(time.Now(), d.service.Name) {
-		return false, &refusal{status: http.StatusServiceUnavailable, reason: "retry budget used up", retryAfter: limitedRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget used up", retryAfter: limitedRetryAfter}
 	}
-	if refused := d.checkKey(); refused != nil {
+	return d.checkKey()
+}
+
+// send sends the request to one upstream. again reports that another attempt should
+// follow.
+func (d *dispatcher) send(candidate *Candidate) (again bool, refused *refusal) {
+	if refused := d.checkSend(); refused != nil {
 		return false, refused
 	}
 	id := candidate.Upstream.ID
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -225,7 +225,9 @@
 	if !d.gateway.registry.evacuatedWhole(d.service.Name) {
 		return nil
 	}
-	d.gateway.metrics.evacuationRefusals.Inc()
+	if d.query == nil {
+		d.gateway.metrics.evacuationRefusals.Inc()
+	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: "all upstreams are in evacuated data centers", retryAfter: evacuatedRetryAfter}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -85,8 +86,16 @@
 	shutdown    *shutdown
 	// uncertainEnds are responses of which it is not known whether they were complete.
 	uncertainEnds *uncertainEnds
+	random        *rand.Rand // safe for concurrent use
+	routeQueries  queryLimiter
 }
 
+// globalSource is the random source of the process, which is safe for concurrent use.
+type globalSource struct{}
+
+// Uint64 implements rand.Source.
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
 // New returns a gateway that is idle until Run.
 func New(options Options) *Gateway {
 	if options.ListenCallers == nil {
@@ -100,6 +109,7 @@
 	}
 	g.config.replica.OnChange = g.config.apply
 	g.uncertainEnds = newUncertainEnds()
+	g.random = rand.New(globalSource{})
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -45,6 +44,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // 0: no Retry-After header
+	// wait reports, in answer to a query, that the request would wait for about retryAfter.
+	wait bool
 }
 
 // inbound is a caller's request while this host handles it.
@@ -67,6 +68,7 @@
 	deadline    time.Time     // the earlier of the caller's deadline and the route's timeout
 	record      accessRecord
 	departure   departure
+	query       *routeQuery // nil: a request. Steps of a query decide the same and have no effect
 }
 
 // ServeHTTP handles a caller's request.
@@ -116,7 +118,7 @@
 	if in.route == nil {
 		return in.unlessConfigStale(&refusal{status: http.StatusNotFound, reason: "no route"})
 	}
-	in.service = in.config.Services[in.route.Target(rand.Float64())]
+	in.service = in.config.Services[in.route.Target(in.gateway.random.Float64())]
 	if in.service == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no service", retryAfter: staleRetryAfter}
 	}
@@ -212,11 +214,19 @@
 	if in.keys.request == 0 {
 		in.keys = newQuarantineKeys(in)
 	}
+	if in.query != nil {
+		return in.previewQuarantine()
+	}
 	var a admission
 	a, in.trial = exchanger.quarantine.admit(in.keys, exchanger.Reached(), in.trial)
 	if len(a.wanted) > 0 {
 		a = in.waitForTrial(a)
 	}
+	return in.refuseQuarantined(a)
+}
+
+// refuseQuarantined returns the refusal of an admission, if it is one.
+func (in *inbound) refuseQuarantined(a admission) *refusal {
 	if a.remaining <= 0 {
 		return nil
 	}
@@ -237,6 +247,9 @@
 	in.cost = requestCost(in.workspace, in.request)
 	balances := in.gateway.exchanger.balances
 	began, patience := time.Now(), min(in.grantWait(), time.Until(in.deadline))
+	if in.query != nil {
+		return in.previewCharge(patience)
+	}
 	until := began.Add(patience)
 	for {
 		now := clock.SinceBoot()
@@ -250,7 +263,7 @@
 		if outcome == allowance.Exhausted || left <= 0 {
 			in.logAllowance(balances.Status(now, in.workspace), outcome)
 			retryAfter := balances.Refuse(now, in.workspace, in.cost)
-			return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: retryAfter}
+			return allowanceUsedUp(retryAfter)
 		}
 		changed, done := balances.AddPending(now, in.workspace, in.cost)
 		in.gateway.exchanger.grantSoon(in.workspace)
@@ -268,6 +281,10 @@
 	}
 }
 
+func allowanceUsedUp(retryAfter time.Duration) *refusal {
+	return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: retryAfter}
+}
+
 // grantWait returns how long the request may wait for its workspace's allowance.
 func (in *inbound) grantWait() time.Duration {
 	return max(minGrantWait, min(maxGrantWait, time.Duration(grantWaitRatio*float64(in.route.Objective))))
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -43,6 +43,7 @@
 			g.log.Info("Failed to write the state dump.", "error", err.Error())
 		}
 	})
+	router.POST("/route", g.serveRouteQuery)
 	return router
 }
 
--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -167,10 +168,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a = q.check(keys, coordinated, of)
-	if a.remaining > 0 || len(a.open) == 0 {
-		if a.remaining > trialRetryAfter || len(a.wanted) == 0 {
-			a.wanted = nil // another key refuses the request anyway
-		}
+	if a.settle() {
 		return a, of
 	}
 	trial = &requestTrial{trials: a.open}
@@ -185,12 +183,41 @@
 	return a, trial
 }
 
+// settle reports whether a request uses no further trial.
+func (a *admission) settle() bool {
+	if a.remaining <= 0 && len(a.open) > 0 {
+		return false
+	}
+	if a.remaining > trialRetryAfter || len(a.wanted) == 0 {
+		a.wanted = nil // another key refuses the request anyway
+	}
+	return true
+}
+
+// preview decides on a request as admit does, without effect on trials. waits reports whether
+// the request may wait for a trial.
+func (q *requestQuarantine) preview(keys quarantineKeys, coordinated bool) (a admission, waits bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	trials := q.trials
+	q.trials = maps.Clone(trials) // check may begin trials
+	defer func() { q.trials = trials }()
+	a = q.check(keys, coordinated, nil)
+	a.settle()
+	return a, coordinated && q.mayWait(a.wanted)
+}
+
+// mayWait reports whether a request may wait for trials of keys. It requires q.mu.
+func (q *requestQuarantine) mayWait(keys []quarantine.Key) bool {
+	return len(keys) > 0 && !slices.ContainsFunc(keys, func(key quarantine.Key) bool { return q.waiting[key] })
+}
+
 // beginWait makes a request that may be tried wait for the coordinator. It reports false if
 // another one waits already.
 func (q *requestQuarantine) beginWait(keys []quarantine.Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(keys) == 0 || slices.ContainsFunc(keys, func(key quarantine.Key) bool { return q.waiting[key] }) {
+	if !q.mayWait(keys) {
 		return false
 	}
 	for _, key := range keys {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -73,11 +73,13 @@
 	paces       *pace.Tracker
 	// candidateCount is the number of candidates of the last choice, about that of the next.
 	candidateCount int
-	pacesVersion   int64         // of the shared paces
-	pacesAt        time.Duration // when the coordinator confirmed them, on the boot clock
-	missingModels  map[requestKey]time.Time
-	changed        chan struct{}
-	snapshot       []*catalog.Upstream // nil: outdated
+	// arrange makes the order of candidates repeatable for tests; nil: they are in any order.
+	arrange       func([]Candidate)
+	pacesVersion  int64         // of the shared paces
+	pacesAt       time.Duration // when the coordinator confirmed them, on the boot clock
+	missingModels map[requestKey]time.Time
+	changed       chan struct{}
+	snapshot      []*catalog.Upstream // nil: outdated
 }
 
 // NewRegistry returns an empty registry. It calls onRemove when an incarnation of an
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -48,10 +48,13 @@
 
 // selectCandidate selects an upstream for the request, nil if there is none.
 func (d *dispatcher) selectCandidate(candidates []Candidate) *Candidate {
-	return selection{
-		request: d.request, engine: d.service.Engine, dataCenter: d.gateway.settings.DataCenter, tried: d.tried,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}.choose(candidates)
+	s := selection{
+		request: d.request, engine: d.service.Engine, dataCenter: d.query.dataCenterOr(d.gateway.settings.DataCenter), tried: d.tried,
+		random: rand.New(rand.NewPCG(d.gateway.random.Uint64(), d.gateway.random.Uint64())),
+	}
+	chosen := s.choose(candidates)
+	d.query.observe(s, candidates)
+	return chosen
 }
 
 // optionLists reuses the memory of choices.
@@ -63,6 +66,21 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	scratch := optionLists.Get().(*[]routing.Candidate)
+	defer optionLists.Put(scratch)
+	options := slices.Grow((*scratch)[:0], len(candidates))[:len(candidates)]
+	*scratch = options
+	clear(options)
+	chosen, ok := routing.ExpectedParams.Choose(s.describe(candidates, options), options, s.random)
+	if !ok {
+		return nil
+	}
+	return &candidates[chosen]
+}
+
+// describe sets the options that stand for the candidates in routing, which are zero, and
+// returns what the choice depends on besides them.
+func (s selection) describe(candidates []Candidate, options []routing.Candidate) routing.Request {
 	usual := candidates[0].Usual
 	request := routing.Request{
 		ServiceTime: usual.Duration, AnswerTime: usual.Answer, Arrivals: expectedArrivals(candidates),
@@ -70,18 +88,13 @@
 	}
 	others := newOthersView(candidates)
 	preferred, cached := s.affinityOwner(candidates)
-	scratch := optionLists.Get().(*[]routing.Candidate)
-	defer optionLists.Put(scratch)
-	options := slices.Grow((*scratch)[:0], len(candidates))[:len(candidates)]
-	*scratch = options
-	clear(options)
 	for i := range candidates {
 		c := &candidates[i]
 		o := &options[i]
 		o.Slots, o.InFlight, o.OtherLoad, o.Pace = c.Upstream.Slots, c.Own, others.load(c), c.Pace
 		o.Tokens = c.Tokens
 		o.Leaving = s.tried[c.Upstream.ID]
-		o.Penalty = s.penalty(c)
+		o.Penalty = s.penalties(c).sum()
 		prefill := s.request.PromptTokens
 		if i == preferred {
 			prefill -= cached
@@ -94,28 +107,37 @@
 			}
 		}
 	}
-	chosen, ok := routing.ExpectedParams.Choose(request, options, s.random)
-	if !ok {
-		return nil
-	}
-	return &candidates[chosen]
+	return request
+}
+
+// Penalties are the penalties of a candidate, in requests in progress.
+type Penalties struct {
+	Failures         float64 `json:"failures"`
+	Backoff          float64 `json:"backoff"`
+	RemoteDataCenter float64 `json:"remote_data_center"`
+	Cold             float64 `json:"cold"`
+	MissingAdapter   float64 `json:"missing_adapter"`
+}
+
+func (p Penalties) sum() float64 {
+	return p.Failures + p.Backoff + p.RemoteDataCenter + p.Cold + p.MissingAdapter
 }
 
-func (s selection) penalty(c *Candidate) float64 {
-	penalty := failureRatePenalty * c.FailureRate
+func (s selection) penalties(c *Candidate) Penalties {
+	p := Penalties{Failures: failureRatePenalty * c.FailureRate}
 	if c.InBackoff {
-		penalty += backoffPenalty
+		p.Backoff = backoffPenalty
 	}
 	if c.Upstream.DataCenter != s.dataCenter {
-		penalty += remoteDataCenterPenalty
+		p.RemoteDataCenter = remoteDataCenterPenalty
 	}
 	if c.ColdFor > 0 {
-		penalty += coldPenalty
+		p.Cold = coldPenalty
 	}
 	if !c.HasAdapter {
-		penalty += missingAdapterPenalty
+		p.MissingAdapter = missingAdapterPenalty
 	}
-	return penalty
+	return p
 }
 
 // expectedArrivals returns how many requests other hosts are expected to have sent to the
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -29,7 +29,7 @@
 		return d.selectEngine()
 	}
 	for {
-		candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
+		candidates := d.gateway.registry.candidates(d.service.Name, "", "", d.query)
 		candidate := d.selectCandidate(candidates)
 		if candidate == nil && len(candidates) > 0 && d.runs == 0 {
 			clock.Sleep(d.ctx, notRunRetryDelay)
@@ -68,6 +68,9 @@
 	if resumesIn > left {
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: "upstreams want no requests yet", retryAfter: max(shortRetryAfter, resumesIn)}
 	}
+	if d.query != nil {
+		return false, wouldWait("upstreams want no requests yet", resumesIn)
+	}
 	if !clock.Sleep(d.ctx, resumesIn) {
 		return false, d.timedOut()
 	}
@@ -84,7 +87,7 @@
 	var adapter adapterWait
 	for {
 		changed := d.gateway.registry.Changed()
-		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
+		candidates := d.gateway.registry.candidates(d.service.Name, d.request.Model, d.request.Adapter, d.query)
 		candidate := d.selectCandidate(candidates)
 		if len(candidates) == 0 {
 			if refused := d.refuseEvacuated(); refused != nil {
@@ -132,6 +135,9 @@
 // it, a refusal if the adapter can't be loaded in time, or neither after the time until
 // the next call is due.
 func (d *dispatcher) requestAdapter(wait *adapterWait) (*Candidate, *refusal) {
+	if d.query != nil {
+		return nil, wouldWait("the coordinator is asked to load the adapter", waitUnknown)
+	}
 	wait.calls++
 	defer addElapsed(&d.record.adapterWait, time.Now())
 	d.record.adapterCalls++
@@ -188,9 +194,10 @@
 	g := d.gateway
 	d.departure.enter(stageModel)
 	defer addElapsed(&d.record.modelWait, time.Now())
-	done := g.exchanger.demand.wait(d.modelKey, d.startedAt)
-	defer done()
-	g.exchanger.exchangeSoon()
+	if d.query == nil {
+		defer g.exchanger.demand.wait(d.modelKey, d.startedAt)()
+		g.exchanger.exchangeSoon()
+	}
 	now := time.Now()
 	left := d.remainingWait()
 	readyIn, known := g.exchanger.demand.estimate(now, d.modelKey)
@@ -204,6 +211,12 @@
 	case left <= 0, !known && d.waitedWithoutEstimate(now):
 		return &refusal{status: http.StatusServiceUnavailable, reason: "model not ready", retryAfter: limitedRetryAfter}
 	}
+	if d.query != nil {
+		if !known {
+			readyIn = waitUnknown
+		}
+		return wouldWait("no engine has the model ready", readyIn)
+	}
 	timer := time.NewTimer(busyExchangeInterval)
 	defer timer.Stop()
 	select {
--- a/internal/routing/expected.go
+++ b/internal/routing/expected.go
@@ -36,6 +36,24 @@
 	index      int // of the candidate
 	seconds    float64
 	perRequest float64
+	parts      ExpectedParts
+}
+
+// ExpectedParts are the terms of an expected time, in seconds.
+type ExpectedParts struct {
+	Batch   float64 // delay by the requests in the batch
+	Penalty float64
+	Wait    float64 // for a slot
+	Answer  float64 // usual time of an answer
+	Extra   float64 // prefill of what is not cached
+}
+
+// ExpectedTime is the expected time of a candidate that is not excluded.
+type ExpectedTime struct {
+	Index   int // of the candidate
+	Seconds float64
+	Parts   ExpectedParts
+	Drawn   bool // the choice is made among two of these candidates, drawn at random
 }
 
 // expectations reuses the memory of choices, which are made for each request.
@@ -65,8 +83,13 @@
 	if c.MemoryTokens > 0 && c.Tokens > 0 && c.Tokens+r.Tokens > c.MemoryTokens {
 		penalty += noRoomPenalty
 	}
+	parts := ExpectedParts{
+		Batch: slow * min(load, slots) * perBatched, Penalty: penalty * perBatched,
+		Wait: pace * perSlot * waiting, Answer: pace * r.AnswerTime.Seconds(), Extra: pace * c.ExtraTime.Seconds(),
+	}
 	return expectation{
-		seconds:    (slow*min(load, slots)+penalty)*perBatched + pace*(perSlot*waiting+r.AnswerTime.Seconds()+c.ExtraTime.Seconds()),
+		seconds:    parts.Batch + parts.Penalty + parts.Wait + parts.Answer + parts.Extra,
+		parts:      parts,
 		perRequest: slow*perBatched + pace*perSlot*(expectedWaiting(load+1, slots)-waiting),
 	}
 }
@@ -93,16 +116,8 @@
 func (p Params) chooseExpected(r *Request, candidates []Candidate, random *rand.Rand) (int, bool) {
 	scratch := expectations.Get().(*[]expectation)
 	defer expectations.Put(scratch)
-	expected := (*scratch)[:0]
+	expected := p.expectAll(r, candidates, (*scratch)[:0])
 	defer func() { *scratch = expected }()
-	for i := range candidates {
-		if excluded(r, &candidates[i]) {
-			continue
-		}
-		e := p.expect(r, &candidates[i])
-		e.index = i
-		expected = append(expected, e)
-	}
 	if len(expected) == 0 {
 		return 0, false
 	}
@@ -127,6 +142,30 @@
 	return first.index, true
 }
 
+// expectAll appends the expectations of the candidates that are not excluded.
+func (p Params) expectAll(r *Request, candidates []Candidate, expected []expectation) []expectation {
+	for i := range candidates {
+		if excluded(r, &candidates[i]) {
+			continue
+		}
+		e := p.expect(r, &candidates[i])
+		e.index = i
+		expected = append(expected, e)
+	}
+	return expected
+}
+
+// Explain returns the expected times by which policy Expected chooses.
+func (p Params) Explain(r Request, candidates []Candidate) []ExpectedTime {
+	expected := p.expectAll(&r, candidates, nil)
+	level := fillLevel(expected, r.Arrivals)
+	explained := make([]ExpectedTime, 0, len(expected))
+	for _, e := range expected {
+		explained = append(explained, ExpectedTime{Index: e.index, Seconds: e.seconds, Parts: e.parts, Drawn: e.seconds <= level})
+	}
+	return explained
+}
+
 // fillLevel returns the common expected time to which arrivals raise the candidates with the
 // lowest times.
 func fillLevel(expected []expectation, arrivals float64) float64 {
