--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -16,6 +17,12 @@
 	ExitError = 1
 )
 
+// ExitCoder is an error that is an outcome of its own: the command has printed it.
+type ExitCoder interface {
+	error
+	ExitCode() int
+}
+
 // Run executes a command line and returns the exit code of the process. An error is
 // printed to stderr.
 func Run(root *cobra.Command, args []string, stdout, stderr io.Writer) int {
@@ -23,6 +30,10 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	if err := root.Execute(); err != nil {
+		var outcome ExitCoder
+		if errors.As(err, &outcome) {
+			return outcome.ExitCode()
+		}
 		fmt.Fprintln(stderr, "error:", err)
 		return ExitError
 	}
--- a/internal/ctl/operator_observe.go
+++ b/internal/ctl/operator_observe.go
@@ -16,7 +16,7 @@
 	return []*cobra.Command{
 		newPatchCommand(), newHistoryCommand(), newShowCommand(), newDiffCommand(), newBlameCommand(),
 		newStatusCommand(), newKeyCommand(), newExplainCommand(), newDumpCommand(),
-		newEvacuationsCommand(),
+		newEvacuationsCommand(), newRouteCommand(),
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -217,7 +217,7 @@
 	if in.query != nil {
 		return in.previewQuarantine()
 	}
-	var a admission
+	var a quarantineDecision
 	a, in.trial = exchanger.quarantine.admit(in.keys, exchanger.Reached(), in.trial)
 	if len(a.wanted) > 0 {
 		a = in.waitForTrial(a)
@@ -225,8 +225,8 @@
 	return in.refuseQuarantined(a)
 }
 
-// refuseQuarantined returns the refusal of an admission, if it is one.
-func (in *inbound) refuseQuarantined(a admission) *refusal {
+// refuseQuarantined returns the refusal by a decision, if it is one.
+func (in *inbound) refuseQuarantined(a quarantineDecision) *refusal {
 	if a.remaining <= 0 {
 		return nil
 	}
--- a/internal/gateway/route_query.go
+++ b/internal/gateway/route_query.go
@@ -291,8 +291,8 @@
 }
 
 // runQuery runs the steps of a request. It returns the upstream that it would be sent to, or
-// the first refusal or, if there is none, the first wait. Steps after a wait are run too: the
-// answer shows what would follow as things are now.
+// the first refusal or wait. Steps after a wait are run too, since they list the candidates, but
+// don't change the outcome: what they decide on may have changed by then.
 func (in *inbound) runQuery() (candidate *Candidate, decided *refusal) {
 	var d *dispatcher
 	choose := func() (refused *refusal) {
@@ -313,12 +313,12 @@
 		if refused == nil {
 			continue
 		}
-		if !refused.wait {
-			return nil, refused
-		}
 		if decided == nil {
 			decided = refused
 		}
+		if !refused.wait {
+			return nil, decided
+		}
 	}
 	return candidate, decided
 }
