--- a/internal/coordinator/eviction.go
+++ b/internal/coordinator/eviction.go
@@ -21,7 +21,7 @@
 // freeMB returns the memory that is certainly free, in MB.
 func (p *planner) freeMB(engine *Engine) float64 {
 	e := p.Service.Engine
-	left := e.WeightsMB - float64(e.MaxAdapters)*maxAdapterMB(e)
+	left := e.WeightsMB - p.adapterReserveMB
 	for model := range engine.Holdings.Models {
 		left -= e.Models[model].WeightsMB
 	}
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -50,17 +50,6 @@
 	slowEngineCost = 1.0
 	// prefetchValue is the priority of a prefetch, lower than that of any requested model.
 	prefetchValue = 0.01
-	// fillValue is the priority of loading a model into idle memory, lower than that of any
-	// other need.
-	fillValue = 0.001
-	// maxBusyEngines and maxIdleEngines are the parts of the engines that may be occupied by
-	// orders when such a load begins, while requests wait for models and while none does: an
-	// engine carries out one order at a time.
-	maxBusyEngines = 0.25
-	maxIdleEngines = 0.5
-	// maxFillAdapterDelay bounds what such a load may cost the requests for adapters of its
-	// engine, in seconds of waiting.
-	maxFillAdapterDelay = 0.25
 	// runningRequestCost is the cost, in seconds, of each running request on an engine that
 	// is considered for a load.
 	runningRequestCost = 0.05
@@ -147,6 +136,7 @@
 	local             map[string]localDemand // by engine, as far as computed
 	activeStoreLoads  int                    // loads from the weight store in progress
 	startedStoreLoads int
+	adapterReserveMB  float64 // memory of an engine that is kept for adapters
 	actions           []Action
 }
 
@@ -158,56 +148,27 @@
 	unserved float64 // requests per second beyond what the replicas can carry
 	reason   string
 	prefetch bool // no request waits for the model
-	fill     bool // load it only into idle memory, from a copy of the engine
 }
 
 // Plan returns the actions to start now, most valuable first.
 func Plan(input PlanInput) []Action {
 	p := &planner{PlanInput: input, assigned: map[string]bool{}, local: map[string]localDemand{}, index: indexReplicas(input.Engines)}
+	p.adapterReserveMB = float64(input.Service.Engine.MaxAdapters) * maxAdapterMB(input.Service.Engine)
 	for _, engine := range input.Engines {
 		if engine.Loading != "" && engine.LoadingFromStore {
 			p.activeStoreLoads++
 		}
 	}
-	needs := p.needs()
-	fills := slices.IndexFunc(needs, func(n need) bool { return n.fill })
-	if fills < 0 {
-		fills = len(needs)
-	}
-	for i, n := range needs[:fills] {
+	for i, n := range p.needs() {
 		if i == maxNeeds {
 			return p.actions // the rest is planned in the next round
 		}
 		p.assign(n)
 	}
-	p.fillIdleMemory(needs[fills:])
-	return p.actions
-}
-
-// fillIdleMemory loads models without a replica into idle memory of engines that have copies
-// of them, the most requested first: the next request for such a model would wait for the
-// load. It evicts nothing.
-func (p *planner) fillIdleMemory(needs []need) {
-	part := maxIdleEngines
-	for _, demand := range p.Demand {
-		if demand.Waiting > 0 {
-			part = maxBusyEngines
-			break
-		}
-	}
-	occupied := len(p.actions)
-	for _, engine := range p.Engines {
-		if engine.Occupied {
-			occupied++
-		}
-	}
-	most := len(p.actions) + int(part*float64(len(p.Engines))) - occupied
-	for _, n := range needs {
-		if len(p.actions) >= most {
-			return
-		}
-		p.assign(n)
+	if input.Prefetch {
+		p.fillIdleMemory()
 	}
+	return p.actions
 }
 
 func (p *planner) needs() []need {
@@ -252,10 +213,6 @@
 		n.value = prefetchValue + demand.Rate/100
 		n.reason = "ahead"
 		n.prefetch = true
-	case ready == 0 && p.Prefetch:
-		n.value = fillValue * (1 + demand.SteadyRate)
-		n.reason = "idle memory"
-		n.fill = true
 	default:
 		return need{}, false
 	}
@@ -341,9 +298,6 @@
 		return Action{}, 0, false
 	}
 	loadTime := p.loadTime(n.model, source)
-	if n.fill && (source == FromStore || len(victims) > 0 || p.adapterDelayCost(engine)*loadTime.Seconds() > maxFillAdapterDelay) {
-		return Action{}, 0, false
-	}
 	running := 0
 	for _, count := range engine.Running {
 		running += count
--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -352,3 +352,23 @@
 		t.Errorf("actions %+v, want a load of m3", actions)
 	}
 }
+
+// BenchmarkPlan plans for 140 engines and 456 models, of which 60 have waiting requests.
+func BenchmarkPlan(b *testing.B) {
+	service := testService(456)
+	input := testInput(service)
+	for i := range 140 {
+		engine := testEngine(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", i+140))
+		for j := range 10 {
+			engine.Holdings.OnDisk = append(engine.Holdings.OnDisk, fmt.Sprintf("m%d", (i*7+j*31)%456))
+		}
+		input.Engines = append(input.Engines, engine)
+	}
+	for i := range 300 {
+		input.Demand[fmt.Sprintf("m%d", i)] = &Demand{Rate: 0.3, SteadyRate: 0.2, Waiting: i % 5 / 4}
+	}
+	input.Prefetch = true
+	for b.Loop() {
+		Plan(input)
+	}
+}
