--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -42,9 +42,9 @@
 	adapterRequestCost = 2.0
 	// maxNeeds limits the models that one plan tries to place.
 	maxNeeds = 24
-	// maxPrefetchLoads limits the loads from the weight store in progress beside which another
-	// model is prefetched, so that a requested model does not wait for all of them.
-	maxPrefetchLoads = maxStoreLoads / 2
+	// maxPrefetchLoads limits the loads from the weight store during traffic for models that no
+	// request waits for, so that a requested model does not wait for the end of one.
+	maxPrefetchLoads = maxStoreLoads - 1
 	// slowEngineCost is the cost, in seconds, of loading a model on an engine that takes twice
 	// the usual time.
 	slowEngineCost = 1.0
@@ -261,7 +261,7 @@
 // assign chooses the engine with the lowest cost for a need, if any engine can take the
 // model.
 func (p *planner) assign(n need) {
-	if p.replicas(n.model).copies == 0 && p.storeFull() || n.prefetch && p.activeStoreLoads >= maxPrefetchLoads {
+	if p.replicas(n.model).copies == 0 && p.storeFull() || n.prefetch && p.activeStoreLoads >= p.prefetchLimit() {
 		return
 	}
 	var best *Action
@@ -283,6 +283,15 @@
 	p.actions = append(p.actions, *best)
 }
 
+// prefetchLimit returns the number of loads from the weight store in progress beside which no
+// model is prefetched.
+func (p *planner) prefetchLimit() int {
+	if len(p.Demand) == 0 {
+		return maxStoreLoads
+	}
+	return maxPrefetchLoads
+}
+
 // evaluate returns the action that loads the needed model on the engine and its cost in
 // seconds. It returns false if the engine cannot take the model.
 func (p *planner) evaluate(engine *Engine, n need) (Action, float64, bool) {
