--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,9 @@
 	Platform string `json:"platform"`
 	// MemoryMB is the memory limit of the process, in MB; 0: none.
 	MemoryMB float64 `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0: as many as
+	// its resource limit allows.
+	MaxDescriptors int `json:"max_descriptors"`
 	// ProcessorShare is the share of a core that the process may use; 0: unknown.
 	ProcessorShare float64 `json:"processor_share"`
 	// ShutdownTimeoutS bounds a graceful shutdown, in seconds.
@@ -119,7 +122,7 @@
 		value float64
 		min   float64
 	}{
-		{"memory_mb", s.MemoryMB, 0}, {"shutdown_timeout_s", s.ShutdownTimeoutS, 1},
+		{"memory_mb", s.MemoryMB, 0}, {"max_descriptors", float64(s.MaxDescriptors), 0}, {"shutdown_timeout_s", s.ShutdownTimeoutS, 1},
 		{"key_confirmation_ms", s.KeyConfirmationMS, 0}, {"handover_ms", s.HandoverMS, 0},
 		{"retry/window_s", s.Retry.WindowS, 0.1},
 	} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,11 @@
 	UpstreamCredentialFile string `json:"upstream_credential_file"`
 	// ShutdownTimeoutS is the maximum duration of a graceful shutdown, in seconds.
 	ShutdownTimeoutS int `json:"shutdown_timeout_s"`
+	// MemoryMB is the memory limit of the process, in MB; 0: none.
+	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0: as many as
+	// its resource limit allows.
+	MaxDescriptors int `json:"max_descriptors"`
 	// LogLevel is the logr verbosity: 0 logs decisions, 1 adds details.
 	LogLevel int      `json:"log_level"`
 	Limits   Limits   `json:"limits"`
@@ -163,6 +168,8 @@
 		c.address("/address_map/"+strictjson.EscapeToken(from), to)
 	}
 	c.positive("/shutdown_timeout_s", s.ShutdownTimeoutS)
+	c.notNegative("/memory_mb", s.MemoryMB)
+	c.notNegative("/max_descriptors", s.MaxDescriptors)
 	c.positive("/limits/max_connections", s.Limits.MaxConnections)
 	c.positive("/limits/queue_per_workspace", s.Limits.QueuePerWorkspace)
 	c.positive("/limits/queue_total", s.Limits.QueueTotal)
@@ -203,6 +210,12 @@
 	}
 }
 
+func (c *validator) notNegative(pointer string, value int) {
+	if value < 0 {
+		c.report(pointer, "must not be negative, found %d", value)
+	}
+}
+
 func (c *validator) oneOf(pointer, value string, allowed ...string) {
 	if !slices.Contains(allowed, value) {
 		c.report(pointer, "must be one of %s, found %q", strings.Join(allowed, ", "), value)
