Gateway and serve: callers' memory and connections are bounded

Cause: bodies were read whole before any admission; heads, connections and responses that are not read took memory and descriptors without a bound. A refusal waited for the rest of its body. upstream.encodeHeader allocated the size of the body once more for each send. Change: internal/intake sits between listener and http.Server of both processes and applies membudget: reservations before reading, in steps, released with the request; 413 at the announcement or the first byte too many, 503 with Retry-After for lack of memory, 408 for a stalled body that gives way; such refusals close the connection, which stays half open for 0.5 s so that they are read. Connections are bounded by max_descriptors and memory_mb; beyond it the longest waiting head, then the longest idle connection gives way with 408, or the new one gets 503. An evicted connection runs nothing. The timeouts for heads and idle connections come from the configuration (headerTimeoutMs, idleTimeoutMs). A response that this host did not read in time is not held against its upstream. serve refuses a body that is late with 408 (body-timeout) instead of 400. The collector aims at 70% of memory_mb (60% before), also in serve.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -18,6 +18,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/explain"
 	"github.com/arbutusbank/arbutusbank/internal/inference"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 	"github.com/arbutusbank/arbutusbank/internal/service"
 )
@@ -93,6 +94,7 @@
 	record          *explain.Record
 	arrived         time.Time
 	responseStarted bool // a byte of the response may have been sent
+	bodyRead        bool // completely
 }
 
 // route handles a request. A non-nil result is the refusal to report to the caller.
@@ -175,6 +177,9 @@
 	if h.draining.Load() {
 		rs.w.Header().Set("Connection", "close")
 	}
+	if !rs.bodyRead && rs.r.ContentLength != 0 {
+		intake.Abandon(rs.w, rs.r)
+	}
 	if !rs.responseStarted {
 		problem.Write(rs.w, refusal, rs.id, rs.version())
 	}
@@ -254,7 +259,10 @@
 
 // refuseWith returns a handler that refuses every request.
 func (h *Handler) refuseWith(refusal *problem.Error) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			intake.Abandon(w, r)
+		}
 		var version uint64
 		if snapshot := h.options.Current(); snapshot != nil {
 			version = snapshot.Version
--- a/internal/caller/inference.go
+++ b/internal/caller/inference.go
@@ -5,6 +5,7 @@
 	"context"
 
 	"github.com/arbutusbank/arbutusbank/internal/inference"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 )
 
@@ -47,10 +48,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	body, refusal := readBody(rs.w, rs.r, document.Defaults.MaxBodyBytes)
+	body, refusal := rs.readBody(document.Defaults.MaxBodyBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
+	if err := intake.Of(rs.r.Context()).Reserve(rs.r.Context(), parsedCopies*int64(len(body))); err != nil {
+		return nil, noMemory(err)
+	}
 	if bytes.Contains(body, []byte(presentedKey(rs.r))) {
 		return nil, problem.New(problem.BadRequest, "the body contains the caller's key, which must not reach an upstream")
 	}
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -4,14 +4,15 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/engine"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/problem"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 	"github.com/arbutusbank/arbutusbank/internal/retry"
@@ -32,6 +33,8 @@
 	bytesPerToken = 4
 	// bodyReadTimeout bounds the time in which a caller must send the body.
 	bodyReadTimeout = 10 * time.Second
+	// parsedCopies is how often parts of a body are copied while it is parsed and kept.
+	parsedCopies = 3
 	// maxTokensLimit is the largest value accepted for the token limit of a request.
 	maxTokensLimit = 1 << 20
 	// maxChoices is the largest value accepted for field "n".
@@ -73,34 +76,33 @@
 }
 
 // readBody reads a body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Error) {
-	if r.ContentLength > limit {
-		return nil, problem.New(problem.BodyTooLarge, "the body may have at most %d bytes", limit)
-	}
+func (rs *requestState) readBody(limit int64) ([]byte, *problem.Error) {
 	// Not every ResponseWriter supports read deadlines; without one, the timeouts of
 	// the server apply.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	_ = http.NewResponseController(rs.w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	body, err := intake.ReadBody(rs.r, limit)
+	_ = http.NewResponseController(rs.w).SetReadDeadline(time.Time{})
+	rs.bodyRead = err == nil
+	var tooLarge *intake.TooLargeError
+	var full *intake.NoMemoryError
+	var stalled *intake.StalledError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
 		return nil, problem.New(problem.BodyTooLarge, "the body may have at most %d bytes", limit)
+	case errors.As(err, &full):
+		return nil, noMemory(err)
+	case errors.As(err, &stalled) || errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.New(problem.BodyTimeout, "the body did not arrive in time")
+	default:
+		return nil, problem.New(problem.BadRequest, "the body could not be read")
 	}
-	if err != nil {
-		return nil, problem.New(problem.BadRequest, "the body could not be read in time")
-	}
-	return body, nil
 }
 
-// readAll reads r to its end, with one allocation if the size is known. A negative
-// size means unknown.
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, size)
-	_, err := io.ReadFull(r, body)
-	return body, err
+// noMemory returns the refusal of a request for which there is no memory.
+func noMemory(err error) *problem.Error {
+	return problem.New(problem.Overloaded, "%v", err).WithRetryAfter(intake.RetryAfter)
 }
 
 // parseInference parses and validates an OpenAI-compatible body. chat selects the
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -104,7 +104,7 @@
 	if len(idempotencyKey) > maxIdempotencyKeyBytes {
 		return nil, problem.New(problem.BadRequest, "header %s may have at most %d bytes", HeaderIdempotencyKey, maxIdempotencyKeyBytes)
 	}
-	body, refusal := readBody(rs.w, rs.r, defaults.MaxBodyBytes)
+	body, refusal := rs.readBody(defaults.MaxBodyBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -91,6 +91,9 @@
 // Limits are limits on the requests of callers.
 type Limits struct {
 	BodyBytes int64 // maximum size of a request body
+	// HeadTimeout bounds the time in which a caller sends the head of a request, IdleTimeout the
+	// time for which it keeps a connection without a request; 0: not configured.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration. It is immutable once built.
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 )
 
 const (
@@ -83,24 +85,15 @@
 }
 
 func (s *Stream) readUnary() ([]byte, error) {
-	length := s.response.ContentLength
-	if length > maxUnaryBytes {
+	ctx := s.response.Request.Context()
+	body, err := intake.Of(ctx).ReadResponse(ctx, s.response.Body, maxUnaryBytes, s.response.ContentLength)
+	var tooLarge *intake.TooLargeError
+	if errors.As(err, &tooLarge) {
 		return nil, &ProtocolError{Detail: "response too large"}
 	}
-	var body []byte
-	var err error
-	if length >= 0 {
-		body = make([]byte, length)
-		_, err = io.ReadFull(s.response.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(s.response.Body, maxUnaryBytes+1))
-	}
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	if len(body) > maxUnaryBytes {
-		return nil, &ProtocolError{Detail: "response too large"}
-	}
 	if s.endsWithConnection() && !json.Valid(body) {
 		return nil, io.ErrUnexpectedEOF
 	}
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"io"
-	"sync/atomic"
+
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 )
 
 const (
@@ -12,15 +13,8 @@
 	// complete.
 	maxBufferedResponseBytes = 8 << 20
 	// maxEventBytes bounds an event of a stream, which is buffered until it is complete.
-	maxEventBytes = 1 << 20
-	// unsharedBufferBytes is what each response may buffer whatever the others do.
-	unsharedBufferBytes = 64 << 10
-	minBufferBytes      = 4 << 10
-	// bufferMemoryFraction is the part of the host's memory that all responses together
-	// may buffer beyond unsharedBufferBytes each.
-	bufferMemoryFraction = 0.125
-	// defaultBufferBytes applies to hosts whose memory is not limited.
-	defaultBufferBytes = 64 << 20
+	maxEventBytes  = 1 << 20
+	minBufferBytes = 4 << 10
 )
 
 // ResponseTooLongError reports a response, or an event of a stream, of more than Limit
@@ -32,62 +26,16 @@
 	return fmt.Sprintf("not complete after %d bytes", e.Limit)
 }
 
-// BuffersFullError reports that all responses together buffer as much as the host allows.
-type BuffersFullError struct{ Limit int64 }
-
-// Error implements error.
-func (e *BuffersFullError) Error() string {
-	return fmt.Sprintf("responses already buffer %d bytes", e.Limit)
-}
-
-// bufferBudget bounds what all responses of a host buffer together. It is safe for
-// concurrent use.
-type bufferBudget struct {
-	limit int64 // bytes
-	used  atomic.Int64
-}
-
-// newBufferBudget returns the budget of a host; memoryMB is 0 if it is not limited.
-func newBufferBudget(memoryMB float64) *bufferBudget {
-	if memoryMB <= 0 {
-		return &bufferBudget{limit: defaultBufferBytes}
-	}
-	return &bufferBudget{limit: int64(memoryMB * bufferMemoryFraction * (1 << 20))}
-}
-
-func (b *bufferBudget) reserve(bytes int64) error {
-	if b.used.Add(bytes) > b.limit {
-		b.used.Add(-bytes)
-		return &BuffersFullError{Limit: b.limit}
-	}
-	return nil
-}
-
-func (b *bufferBudget) release(bytes int64) { b.used.Add(-bytes) }
-
 // responseBuffer buffers a part of a response. It is not safe for concurrent use.
 type responseBuffer struct {
-	budget   *bufferBudget
-	limit    int // bytes
-	data     []byte
-	reserved int64 // bytes of the budget
+	ctx    context.Context
+	memory *intake.Buffer // holds no bytes itself
+	limit  int            // bytes
+	data   []byte
 }
 
-// readAll reads to the end of a response. It returns the reader's error, a
-// ResponseTooLongError or a BuffersFullError.
-func (b *responseBuffer) readAll(reader io.Reader) error {
-	for {
-		err := b.readSome(reader)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// readSome appends the result of one Read. Its errors are those of readAll and io.EOF.
+// readSome appends the result of one Read. It returns the reader's error, a
+// ResponseTooLongError, an intake.NoMemoryError or the context's error.
 func (b *responseBuffer) readSome(reader io.Reader) error {
 	if len(b.data) == cap(b.data) {
 		if err := b.grow(); err != nil {
@@ -106,14 +54,12 @@
 		return &ResponseTooLongError{Limit: b.limit}
 	}
 	size := min(max(2*cap(b.data), minBufferBytes), b.limit+1)
-	if shared := int64(size) - unsharedBufferBytes; shared > b.reserved {
-		if err := b.budget.reserve(shared - b.reserved); err != nil {
-			return err
-		}
-		b.reserved = shared
+	if err := b.memory.Reserve(b.ctx, int64(size)); err != nil {
+		return err
 	}
 	data := make([]byte, len(b.data), size)
 	copy(data, b.data)
+	b.memory.Release(int64(cap(b.data)))
 	b.data = data
 	return nil
 }
@@ -123,8 +69,8 @@
 	b.data = b.data[:copy(b.data, b.data[n:])]
 }
 
-// free returns what the buffer reserved of the budget.
+// free returns the buffer's memory.
 func (b *responseBuffer) free() {
-	b.budget.release(b.reserved)
-	b.data, b.reserved = nil, 0
+	b.memory.Close()
+	b.data = nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/drain"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -72,7 +73,7 @@
 	config      *configuration
 	registry    *Registry
 	connections *upstream.Pool
-	buffers     *bufferBudget
+	intake      *intake.Guard
 	elector     *lease.Elector
 	coordinator *coordinator.Coordinator
 	exchanger   *exchanger
@@ -90,9 +91,10 @@
 	s := options.Settings
 	g := &Gateway{
 		settings: s, options: options, log: options.Log, protocol: options.Protocol, connections: upstream.NewPool(),
-		buffers: newBufferBudget(s.MemoryMB), shutdown: newShutdown(),
-		config: &configuration{decode: options.DecodeConfig, log: options.Log},
+		shutdown: newShutdown(),
+		config:   &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
+	g.intake = newIntake(g)
 	g.config.replica.OnChange = g.config.apply
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
 	g.elector = &lease.Elector{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 )
 
@@ -59,6 +60,7 @@
 	cost        float64
 	charged     bool
 	body        []byte
+	bodyRead    bool // completely
 	keys        quarantineKeys
 	deadline    time.Time // the earlier of the caller's deadline and the route's timeout
 	record      accessRecord
@@ -171,21 +173,19 @@
 	controller := http.NewResponseController(in.writer)
 	_ = controller.SetReadDeadline(in.deadline) // the writers of net/http support it
 	stopWaiting := in.gateway.shutdown.onEnd(func() { _ = controller.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(in.writer, in.httpRequest.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := intake.ReadBody(in.httpRequest, limit)
 	switch ended := !stopWaiting(); {
 	case ended && err == nil:
+		in.bodyRead = true
 		return shuttingDown()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		// The read deadline stays: net/http reads the rest of a body before it responds.
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not received in time"}
 	case err != nil && presence.Left(in.httpRequest.Context()):
 		return &refusal{status: http.StatusBadRequest, reason: reasonCallerGone}
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
+		return bodyRefusal(err)
 	}
+	in.bodyRead = true
 	_ = controller.SetReadDeadline(time.Time{}) // as above
 	in.body = body
 	return nil
@@ -285,6 +285,9 @@
 		in.record.status = statusCallerGone
 		panic(http.ErrAbortHandler) // a return without a response would be an empty 200
 	}
+	if !in.bodyRead && in.httpRequest.ContentLength != 0 {
+		intake.Abandon(in.writer, in.httpRequest)
+	}
 	header := in.writer.Header()
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -76,6 +76,7 @@
 		gauge("gateway_panics", "Panics that were confined to the message that caused them, since the start.", func() float64 { return float64(confine.Panics()) }),
 		gauge("gateway_log_lines_dropped", "Log lines that were dropped because the output was slow.", g.droppedLogLines),
 	)
+	m.registry.MustRegister(g.intake.Collectors()...)
 	return m
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
 )
 
@@ -38,12 +39,15 @@
 // request can be sent to another upstream if the response is incomplete.
 func (d *dispatcher) forwardBuffered(id string, response *upstream.Response) (bool, *refusal) {
 	d.stopWatch()
-	body := responseBuffer{budget: d.gateway.buffers, limit: maxBufferedResponseBytes}
-	defer body.free()
-	if err := body.readAll(response); err != nil {
+	body := intake.Of(d.ctx).Response(maxBufferedResponseBytes)
+	defer body.Close()
+	if err := body.Read(d.ctx, response, response.Length); err != nil {
 		if d.ctx.Err() != nil {
 			return false, d.timedOut()
 		}
+		if heldBackHere(err, body.Waited(), time.Time{}) {
+			return d.handleHeldBack(id, err)
+		}
 		d.log("Answer broken off.", id, err)
 		var incomplete *upstream.IncompleteResponseError
 		if errors.As(err, &incomplete) {
@@ -60,9 +64,9 @@
 		d.recordSuccess(id, response)
 	}
 	d.writeHeader(response)
-	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body.data)))
+	d.writer.Header().Set("Content-Length", strconv.FormatInt(body.Size(), 10))
 	d.writer.WriteHeader(response.Status)
-	_, _ = d.writer.Write(body.data) // the caller may have disconnected
+	_, _ = body.WriteTo(d.writer) // the caller may have disconnected
 	d.record.status = response.Status
 	return false, nil
 }
@@ -115,9 +119,10 @@
 // the first of them: until then the request can still be refused, or run elsewhere. A stream
 // that ends with its connection before its first event has been broken off.
 func (d *dispatcher) forwardStream(id string, response *upstream.Response) (bool, *refusal) {
-	buffer := responseBuffer{budget: d.gateway.buffers, limit: maxEventBytes}
+	buffer := responseBuffer{ctx: d.ctx, memory: intake.Of(d.ctx).Response(maxEventBytes), limit: maxEventBytes}
 	defer buffer.free()
 	resumed := d.relay.started
+	var unreadUntil time.Time // when the caller last read events for which it took minHeldBack
 	for {
 		readErr := buffer.readSome(response)
 		complete := buffer.data[:completeEventsLength(buffer.data)]
@@ -130,9 +135,13 @@
 			}
 		}
 		if len(complete) > 0 {
+			began := time.Now()
 			if err := d.forwardEvents(response, complete); err != nil {
 				return false, nil // the caller disconnected; the end of the context cancels the run
 			}
+			if time.Since(began) >= minHeldBack {
+				unreadUntil = time.Now()
+			}
 			buffer.consume(len(complete))
 		}
 		if errors.Is(readErr, io.EOF) && len(buffer.data) == 0 && (response.HasEnd() || !d.outputAt.IsZero()) {
@@ -140,6 +149,9 @@
 			d.recordSuccess(id, response)
 			return false, nil
 		}
+		if readErr != nil && d.ctx.Err() == nil && heldBackHere(readErr, buffer.memory.Waited(), unreadUntil) {
+			return d.handleHeldBack(id, readErr)
+		}
 		if readErr != nil {
 			return d.handleBrokenStream(id, readErr)
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -20,8 +20,10 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout exceeds the longest time for which callers keep a connection idle.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes exceeds the longest head that configurations allow; all heads together are
+	// bounded by package intake.
+	maxHeaderBytes = 256 << 10
 	// configWatchTimeout bounds a watch of the configuration.
 	configWatchTimeout = 600 * time.Millisecond
 	// configConfirmations is the number of confirmations of the configuration that
@@ -102,15 +104,14 @@
 	defer stopBackground()
 	var group conc.WaitGroup
 	g.startBackground(background, &group, l)
-	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	server := &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes}
 	presence.Watch(server)
 	connections := drain.Track(server)
+	g.intake.Attach(server)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		err = server.Serve(l.callers)
+		err = server.Serve(g.intake.Listener(l.callers))
 	}()
 	select {
 	case <-ctx.Done():
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/explain"
 	"github.com/arbutusbank/arbutusbank/internal/idempotency"
 	"github.com/arbutusbank/arbutusbank/internal/inference"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/liveness"
 	"github.com/arbutusbank/arbutusbank/internal/loading"
 	"github.com/arbutusbank/arbutusbank/internal/membership"
@@ -106,6 +107,7 @@
 	background          conc.WaitGroup
 	killed              chan struct{}
 	idleConns           *idleConns
+	intake              *intake.Guard
 	addresses           atomic.Pointer[Addresses]
 }
 
@@ -138,6 +140,11 @@
 	// within the same nanosecond.
 	h.incarnation = uint64(h.started.UnixNano())
 	h.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h.intake = intake.New(intake.Options{
+		Memory: int64(h.settings.MemoryMB) << 20, Descriptors: h.settings.MaxDescriptors, Prefix: "arbutusbank_",
+		Timeouts: func() intake.Timeouts { return intake.Timeouts{Head: readHeaderTimeout, Idle: idleTimeout} },
+	})
+	h.registry.MustRegister(h.intake.Collectors()...)
 	h.buildPeers()
 	h.buildConfiguration()
 	h.buildUpstreams(scalingPolicy)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -94,7 +94,7 @@
 	h.startLoops(loopCtx, &group, peerListener)
 	server := h.newServer()
 	serving := make(chan error, 1)
-	group.Go(func() { serving <- server.Serve(listener) })
+	group.Go(func() { serving <- server.Serve(h.intake.Listener(listener)) })
 	select {
 	case <-ctx.Done():
 		err = h.shutdown(server, listener)
@@ -113,13 +113,12 @@
 
 func (h *Host) newServer() *http.Server {
 	server := &http.Server{
-		Handler:           h.handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         h.idleConns.observe,
+		Handler:        h.handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      h.idleConns.observe,
 	}
 	presence.Watch(server)
+	h.intake.Attach(server)
 	return server
 }
 
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -34,6 +34,7 @@
 	Forbidden            Kind = "forbidden"
 	BadRequest           Kind = "bad-request"
 	BodyTooLarge         Kind = "body-too-large"
+	BodyTimeout          Kind = "body-timeout"
 	UnknownModel         Kind = "unknown-model"
 	UnknownRoute         Kind = "unknown-route"
 	MethodNotAllowed     Kind = "method-not-allowed"
@@ -71,6 +72,7 @@
 	Forbidden:            {http.StatusForbidden, "The workspace may not use this resource"},
 	BadRequest:           {http.StatusBadRequest, "The request is malformed"},
 	BodyTooLarge:         {http.StatusRequestEntityTooLarge, "The request body is too large"},
+	BodyTimeout:          {http.StatusRequestTimeout, "The request body arrived too slowly"},
 	UnknownModel:         {http.StatusNotFound, "The model does not exist"},
 	UnknownRoute:         {http.StatusNotFound, "The route does not exist"},
 	MethodNotAllowed:     {http.StatusMethodNotAllowed, "The method is not allowed on this route"},
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -23,7 +23,7 @@
 	settingsVariable = "ARBUTUSBANK_CONFIG"
 	// gcMemoryFraction is the part of the memory that the garbage collector tries to
 	// stay within; stacks and the system's buffers come on top.
-	gcMemoryFraction = 0.6
+	gcMemoryFraction = 0.7
 	// gcPercent is the GOGC value: the growth of the heap between two collections, in
 	// percent.
 	gcPercent = 300
--- a/internal/server/serve.go
+++ b/internal/server/serve.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if memory := options.Settings.MemoryMB; memory > 0 {
+		tuneGarbageCollector(float64(memory))
+	}
 	options.Logger = newLogger(logOutput, options.Settings.LogLevel)
 	if ctx == nil {
 		ctx = context.Background()
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -15,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
@@ -144,12 +144,14 @@
 }
 
 func (c *Client) readResponse(address string, response *http.Response) (*Response, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	ctx := response.Request.Context()
+	body, err := intake.Of(ctx).ReadResponse(ctx, response.Body, maxResponseBytes, response.ContentLength)
+	var tooLarge *intake.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, eris.Wrap(&ResponseTooLargeError{Limit: maxResponseBytes}, address)
+	}
 	if err != nil {
 		return nil, eris.Wrap(&InterruptedError{Cause: err}, address)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, eris.Wrap(&ResponseTooLargeError{Limit: maxResponseBytes}, address)
-	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -206,7 +206,7 @@
 
 func encodeHeader(request *Request) []byte {
 	var header bytes.Buffer
-	header.Grow(1024 + len(request.Body))
+	header.Grow(1024 + min(len(request.Body), maxInlineBodyBytes)) // longer bodies are written by themselves
 	header.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
