--- a/internal/gateway/access_record.go
+++ b/internal/gateway/access_record.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 )
 
@@ -21,8 +22,11 @@
 	upstream   string
 	sends      int
 	firstEvent time.Duration // time to the first event; 0: none
+	grantWait  time.Duration // time that the request waited for its workspace's allowance
 	// adapterCalls counts the calls to load the request's adapter.
 	adapterCalls int
+	// choice is the candidate that was chosen last; nil: none.
+	choice *Candidate
 }
 
 func (r *accessRecord) recordFirstEvent(startedAt time.Time) {
@@ -47,7 +51,10 @@
 		fields = append(fields, "route", routeName, "config", in.config.Version, "deadline_ms", in.deadline.Sub(in.startedAt).Milliseconds())
 	}
 	if in.workspace != nil {
-		fields = append(fields, "workspace", in.workspace.Name, "cost", in.cost)
+		fields = append(fields, "workspace", in.workspace.Name, "cost", in.cost, "grant_wait_ms", in.record.grantWait.Milliseconds())
+	}
+	if c := in.record.choice; c != nil {
+		fields = append(fields, "load", c.Load, "own", c.Own, "pace", math.Round(100*c.Pace)/100, "loads_age_ms", c.OthersAge.Milliseconds())
 	}
 	if in.record.adapterCalls > 0 {
 		fields = append(fields, "adapter_calls", in.record.adapterCalls)
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -10,7 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 )
 
@@ -62,6 +64,12 @@
 	Quarantines []QuarantineDump `json:"quarantines"`
 	// Statements are what upstreams have said of themselves.
 	Statements []statement.Dump `json:"statements"`
+	// Evacuations are the data centers whose upstreams get nothing more.
+	Evacuations []EvacuationDump `json:"evacuations"`
+	// ColdUpstreams are the upstreams to which requests are limited.
+	ColdUpstreams []coldstart.Dump `json:"cold_upstreams"`
+	// Paces are the upstreams that answer notably faster or slower than usual.
+	Paces []pace.Dump `json:"paces"`
 }
 
 // State returns the state dump.
@@ -72,6 +80,7 @@
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
-		Statements: g.registry.statements.Dump(clock.SinceBoot()),
+		Statements: g.registry.statements.Dump(clock.SinceBoot()), Evacuations: g.registry.evacuationDump(),
+		ColdUpstreams: g.registry.cold.dump(), Paces: g.registry.paceDump(),
 	}
 }
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -26,6 +26,7 @@
 	if said == (call.Statement{}) && r.statements.Empty() {
 		return
 	}
+	r.learnStated(upstream, said.ColdFor)
 	of := statement.IncarnationOf(upstream)
 	leaves := r.statements.Record(r.now(), of, said)
 	if said.PauseFor > 0 {
@@ -72,6 +73,9 @@
 // BeginSend reports whether a request may be sent to an upstream now. It is called right
 // before the first byte.
 func (r *Registry) BeginSend(upstream *catalog.Upstream) bool {
+	if !r.beginEvacuated(upstream) {
+		return false
+	}
 	if r.statements.Empty() {
 		return true
 	}
@@ -110,10 +114,11 @@
 		return 0, false
 	}
 	now := time.Now()
+	leaving := r.evacuations.at(r.now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, entry := range r.entries {
-		if _, ok := r.serves(entry, service, model, now); !ok {
+		if _, ok := r.serves(entry, service, model, now); !ok || leaving.affects(entry) {
 			continue
 		}
 		if left := p.of(entry); left > 0 && (!paused || left < resumesIn) {
