--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -136,6 +136,7 @@
 	local             map[string]localDemand // by engine, as far as computed
 	activeStoreLoads  int                    // loads from the weight store in progress
 	startedStoreLoads int
+	adapterReserveMB  float64 // memory of an engine that is kept for adapters
 	actions           []Action
 }
 
@@ -152,6 +153,7 @@
 // Plan returns the actions to start now, most valuable first.
 func Plan(input PlanInput) []Action {
 	p := &planner{PlanInput: input, assigned: map[string]bool{}, local: map[string]localDemand{}, index: indexReplicas(input.Engines)}
+	p.adapterReserveMB = float64(input.Service.Engine.MaxAdapters) * maxAdapterMB(input.Service.Engine)
 	for _, engine := range input.Engines {
 		if engine.Loading != "" && engine.LoadingFromStore {
 			p.activeStoreLoads++
@@ -159,10 +161,13 @@
 	}
 	for i, n := range p.needs() {
 		if i == maxNeeds {
-			break // the rest is planned in the next round
+			return p.actions // the rest is planned in the next round
 		}
 		p.assign(n)
 	}
+	if input.Prefetch {
+		p.fillIdleMemory()
+	}
 	return p.actions
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	shutdown    *shutdown
+	// uncertainEnds are responses of which it is not known whether they were complete.
+	uncertainEnds *uncertainEnds
 }
 
 // New returns a gateway that is idle until Run.
@@ -99,6 +101,7 @@
 	}
 	g.intake = newIntake(g)
 	g.config.replica.OnChange = g.config.apply
+	g.uncertainEnds = newUncertainEnds()
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
@@ -135,6 +138,7 @@
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
 	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.exchanger.quarantine.host = s.Host
 	g.metrics = newMetrics(g)
 	return g
 }
--- a/internal/retry/segments.go
+++ b/internal/retry/segments.go
@@ -21,7 +21,7 @@
 	// minTold is the shortest rest of a quarantine of which peers are told. It exceeds the
 	// time that a message takes, so that hosts do not tell each other of it without end.
 	minTold = time.Second
-	// crashMemory is how long the time of a crash is remembered; older crashes count no more.
+	// crashMemory is how long the time of a crash is remembered: longer than it is reported.
 	crashMemory = time.Minute
 	// maxReported bounds each list of a report to peers, maxSegments the segments of a run:
 	// of long conversations the latest messages are kept.
@@ -92,6 +92,8 @@
 	// suspectedAt is when a segment was last suspected. Peers are told of its answers, also
 	// after these have cleared it here.
 	suspectedAt map[quarantine.Key]time.Duration
+	trials      map[quarantine.Key]*segmentTrial // of this host
+	owns        func(segment quarantine.Key) bool
 }
 
 // reportedRun is a run that is reported to peers.
@@ -104,6 +106,7 @@
 func newSegments() *Segments {
 	return &Segments{
 		tracker: quarantine.NewTracker(), crashedAt: map[Crash]time.Duration{}, suspectedAt: map[quarantine.Key]time.Duration{},
+		trials: map[quarantine.Key]*segmentTrial{},
 	}
 }
 
@@ -194,7 +197,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answers.Record(s.since(now), segments...)
+	at := s.since(now)
+	s.answers.Record(at, segments...)
+	s.recordTrialAnswers(at, segments)
 }
 
 // bootNumber returns the number by which the tracker knows a boot ID.
