--- a/internal/coordinator/eviction.go
+++ b/internal/coordinator/eviction.go
@@ -101,10 +101,8 @@
 		return 0, false
 	}
 	reload := p.loadTime(model, p.source(engine, model))
-	if ready > 1 {
-		return rate * reload.Seconds(), true // other replicas serve its requests
-	}
-	// The next request waits for the load, and evicts another model in turn.
-	requested := 1 - math.Exp(-max(demand.Rate, demand.SteadyRate)*residenceTime.Seconds())
+	// The next request waits for the load, and evicts another model in turn, or crowds the
+	// other replicas.
+	requested := 1 - math.Exp(-max(demand.Rate, demand.SteadyRate)/float64(max(1, ready))*residenceTime.Seconds())
 	return requested * (reload + reloadOverhead).Seconds(), true
 }
