Queue for slots: requests wait at the host when all replicas are full

Cause: a host sent each request at once whatever an engine's queue held, or polled every 60 ms, so order and priority existed only inside an engine, and requests were refused after seconds or at their deadline.

Change: admission.Backlog (pure) orders waiting requests by slack, urgency and workspace, and refuses at once those that can't start in time. gateway.slotQueue passes them on when a slot comes free. The engine priority of a patient request rises when its slack is used up.

Counts of requests that wait at other hosts are not exchanged yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -100,8 +100,9 @@
 	Workspaces map[string]*Workspace
 	Limits     Limits
 
-	routes map[string][]*Route // by host, longest prefix first
-	keys   map[string]*Workspace
+	routes   map[string][]*Route // by host, longest prefix first
+	profiles map[string]Profile  // by service
+	keys     map[string]*Workspace
 }
 
 // NewConfig returns a configuration that indexes the given routes and services.
@@ -112,6 +113,7 @@
 		Workspaces: map[string]*Workspace{},
 		Limits:     limits,
 		routes:     map[string][]*Route{},
+		profiles:   map[string]Profile{},
 		keys:       map[string]*Workspace{},
 	}
 	for _, service := range services {
@@ -120,6 +122,7 @@
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		c.routes[host] = append(c.routes[host], route)
+		c.addToProfiles(route)
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -127,6 +130,28 @@
 	return c
 }
 
+// Profile is what the routes of a service have in common.
+type Profile struct {
+	MostUrgent        int           // lowest priority value of a route
+	ShortestObjective time.Duration // 0: no route has an objective
+}
+
+func (c *Config) addToProfiles(route *Route) {
+	for _, target := range route.Targets {
+		profile, known := c.profiles[target.Service]
+		if !known || route.Priority < profile.MostUrgent {
+			profile.MostUrgent = route.Priority
+		}
+		if route.Objective > 0 && (profile.ShortestObjective == 0 || route.Objective < profile.ShortestObjective) {
+			profile.ShortestObjective = route.Objective
+		}
+		c.profiles[target.Service] = profile
+	}
+}
+
+// Profile returns the profile of a service.
+func (c *Config) Profile(service string) Profile { return c.profiles[service] }
+
 // AddWorkspace adds a workspace and its keys. It may only be called while the configuration
 // is built.
 func (c *Config) AddWorkspace(w *Workspace, keys []string) {
--- a/internal/gateway/departure.go
+++ b/internal/gateway/departure.go
@@ -17,13 +17,14 @@
 	stageSelect                 // an upstream is selected
 	stageModel                  // waits for its model
 	stageAdapter                // waits for its adapter
+	stageSlot                   // waits for a slot of an upstream
 	stageSend                   // connects, is sent, or waits for the response header
 	stageResponse               // the response is read or forwarded
 )
 
 // String returns the stage's name in logs and metrics.
 func (s stage) String() string {
-	return [...]string{"read", "unread", "allowance", "select", "model", "adapter", "send", "response"}[s]
+	return [...]string{"read", "unread", "allowance", "select", "model", "adapter", "slot", "send", "response"}[s]
 }
 
 // departure records at which stage the caller of a request left. It is safe for
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
@@ -48,9 +49,12 @@
 	// withheld counts the sends that were given up because of a statement that arrived
 	// after the upstream was chosen.
 	withheld int
-	relay    relay
-	upstream *catalog.Upstream // of the current run
-	runCtx   context.Context   // of the current run
+	// releaseSlot releases the slot that was taken for the next send; nil: none.
+	releaseSlot func()
+	entry       *admission.Entry // of the last wait for a slot
+	relay       relay
+	upstream    *catalog.Upstream // of the current run
+	runCtx      context.Context   // of the current run
 	// stopWatch ends the watch for a quarantine that cancels the current run.
 	stopWatch func()
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
@@ -69,6 +73,7 @@
 		inbound: in, ctx: ctx, tried: map[string]bool{},
 		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
 	}
+	defer d.dropSlot()
 	in.gateway.exchanger.retryBudget.RecordRequest(in.startedAt, in.service.Name)
 	if d.isEngine() {
 		in.gateway.exchanger.demand.recordArrival(d.modelKey, d.request.Adapter)
@@ -86,6 +91,7 @@
 			return d.finalRefusal(refused)
 		}
 		again, refused := d.send(candidate)
+		d.dropSlot()
 		if !again {
 			return d.finalRefusal(refused)
 		}
@@ -131,8 +137,7 @@
 	id := candidate.Upstream.ID
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
-	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter)
-	defer release()
+	defer d.trackSend(id)()
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
 	d.runCtx, d.stopWatch = ctx, d.gateway.exchanger.quarantine.watch(d.keys, cancel)
@@ -192,7 +197,7 @@
 		attempt.Workspace = d.workspace.Name
 	}
 	if d.isEngine() {
-		attempt.Priority = min(maxPriority, enginePriorityOffset+d.priority())
+		attempt.Priority = min(maxPriority, enginePriorityOffset+d.urgency())
 	}
 	return &upstream.Request{
 		Key: to.ID, ID: d.request.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
@@ -299,8 +304,12 @@
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
 	d.tried[id] = true
-	if d.gateway.protocol.Misdirected(response.Status) && d.isEngine() {
+	misdirected := d.gateway.protocol.Misdirected(response.Status)
+	switch {
+	case misdirected && d.isEngine():
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
+	case !misdirected:
+		d.gateway.slots.recordFull(d, id, d.upstream.Slots)
 	}
 	d.gateway.log.Info("Upstream did not run the request.", "request", d.request.ID, "upstream", id, "status", response.Status,
 		"sends", d.sends)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,6 +61,7 @@
 	poolExchanger *poolExchanger
 	retryBudget   *RetryBudget
 	quarantine    *requestQuarantine
+	slots         *slotQueue
 
 	replicas     map[string]*table.Replica // by table name
 	wake         chan struct{}
@@ -109,7 +110,7 @@
 }
 
 func (e *exchanger) waitForNext(ctx context.Context, started time.Time) {
-	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting())
+	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting() || e.slots.hasWaiting())
 	timer := time.NewTimer(period - min(period, time.Since(started)))
 	defer timer.Stop()
 	select {
@@ -155,6 +156,7 @@
 	e.applyTables(reply, requestedAt, now)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
+	e.slots.freed()
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	elector     *lease.Elector
 	coordinator *coordinator.Coordinator
 	exchanger   *exchanger
+	slots       *slotQueue
 	metrics     *metrics
 	inFlight    atomic.Int64
 	draining    atomic.Bool
@@ -116,6 +117,8 @@
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
 	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.slots = newSlotQueue(g)
+	g.exchanger.slots = g.slots
 	g.metrics = newMetrics(g)
 	return g
 }
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
@@ -60,6 +61,8 @@
 	Hosts int64 `json:"hosts"`
 	// Quarantines are the requests and prompt segments that this host refuses.
 	Quarantines []QuarantineDump `json:"quarantines"`
+	// Queues are the queues in which requests wait for a slot of an upstream.
+	Queues []admission.BacklogDump `json:"queues"`
 	// Statements are what upstreams have said of themselves.
 	Statements []statement.Dump `json:"statements"`
 }
@@ -72,6 +75,7 @@
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
+		Queues:     g.slots.dump(),
 		Statements: g.registry.statements.Dump(clock.SinceBoot()),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,9 @@
 
 	foreignResponses prometheus.Counter
 	lostRuns         prometheus.Counter
+
+	queueRefusals *prometheus.CounterVec
+	queueWait     prometheus.Histogram
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -62,6 +65,14 @@
 			Name: "gateway_lost_runs_total", Help: "Runs that ended with the connection to their upstream, which may have crashed.",
 		}),
 	}
+	m.queueRefusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gateway_queue_refusals_total", Help: "Requests that got no slot of an upstream, by service and reason.",
+	}, []string{"service", "reason"})
+	m.queueWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "gateway_queue_wait_seconds", Help: "Time for which requests waited for a slot that they got.",
+		Buckets: []float64{.01, .03, .1, .3, 1, 3, 10},
+	})
+	m.registry.MustRegister(m.queueRefusals, m.queueWait, queueCollector{g.slots})
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
@@ -90,3 +101,21 @@
 	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
 	m.latency.WithLabelValues(route).Observe(took.Seconds())
 }
+
+// queueCollector collects the numbers of waiting requests.
+type queueCollector struct{ slots *slotQueue }
+
+var queueWaiting = prometheus.NewDesc("gateway_queue_waiting", "Requests that wait for a slot of an upstream, by service.", []string{"service"}, nil)
+
+// Describe implements prometheus.Collector.
+func (c queueCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- queueWaiting }
+
+// Collect implements prometheus.Collector.
+func (c queueCollector) Collect(metrics chan<- prometheus.Metric) {
+	c.slots.mu.Lock()
+	counts := c.slots.backlog.WaitingByService()
+	c.slots.mu.Unlock()
+	for service, count := range counts {
+		metrics <- prometheus.MustNewConstMetric(queueWaiting, prometheus.GaugeValue, float64(count), service)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,6 +71,9 @@
 // that the upstream has not crashed.
 func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
+	if response.Status < http.StatusMultipleChoices {
+		d.gateway.slots.recordRun(d)
+	}
 	if response.HasEnd() && response.Status < http.StatusMultipleChoices {
 		d.gateway.exchanger.quarantine.recordAnswer(d.keys)
 	}
@@ -163,6 +166,7 @@
 	switch {
 	case d.outputAt.IsZero():
 		d.outputAt = now
+		d.gateway.slots.recordFirstEvent(d)
 		d.stopWatch()
 	case !d.survived && now.Sub(d.outputAt) >= answeredAfter:
 		d.survived = true
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -30,7 +30,13 @@
 	}
 	for {
 		candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
-		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		candidate, again, refused := d.selectSlot(candidates)
+		if refused != nil {
+			return nil, refused
+		}
+		if again {
+			continue
+		}
 		if candidate == nil && len(candidates) > 0 && d.runs == 0 {
 			clock.Sleep(d.ctx, notRunRetryDelay)
 			clear(d.tried)
@@ -79,7 +85,13 @@
 	for {
 		changed := d.gateway.registry.Changed()
 		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
-		candidate := selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried)
+		candidate, again, refused := d.selectSlot(candidates)
+		if refused != nil {
+			return nil, refused
+		}
+		if again {
+			continue
+		}
 		if len(candidates) == 0 {
 			waited, refused := d.waitForPaused(d.request.Model)
 			if refused != nil {
