Queue for slots: hosts share the room at upstreams by credit; kinds and workspaces in balance

Cause: all hosts decide by the same counts of up to 0.4 s ago, so they sent to the same free slots; and a patient kind outwaited the others, which each host refused by itself.

Change: the exchange carries the queues that are contended and the counts of served and refused requests by kind (fields queued and kinds). A host gets credit for its part of the room; the best served kind is refused first; workspaces that ask for much more than others come last. Without contact to the coordinator a host goes by its own counts, and an upstream that refuses for lack of room counts as full for a short time.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,20 +17,50 @@
 	urgencyStep = 100 * time.Millisecond
 	// standingTime is for how long requests must be expected to miss their objectives before
 	// new ones are refused that would miss theirs. A shorter burst is served late instead.
-	standingTime = time.Second
+	standingTime = 2 * time.Second
 	// standingEnd is for how long none may be expected to miss it before that ends.
-	standingEnd = 2 * time.Second
+	standingEnd = time.Second
 	// urgencyMargin is by how much the share served of a kind is to be ahead of that of the
 	// next less urgent kind.
-	urgencyMargin = 0.06
+	urgencyMargin = 0.1
 	// shareTime is the time constant of the share of each kind that is served.
 	shareTime = 15 * time.Second
-	// hoggingRatio is the ratio of a workspace's waiting cost to the mean of all waiting
-	// workspaces from which its requests are refused first.
-	hoggingRatio = 2.0
+	// hoggingRatio is the ratio of the recent demand of a workspace to the mean of the others
+	// from which its requests are refused first. Workspaces that send alike differ by less at
+	// a host that gets a few requests a second.
+	hoggingRatio = 3.0
+	// hogDelay is by how much later its requests count as due.
+	hogDelay = 300 * time.Millisecond
+	// minUsageCount is the number of recent requests from which workspaces are compared.
+	minUsageCount = 20
+	// hogSlack is the part of the slack within which requests of such a workspace are accepted
+	// in overload. The rest is left to the other workspaces.
+	hogSlack = 0.25
 	// reviewTolerance is the part of the expected wait by which requests are refused that
 	// wait already: estimates vary, and a refusal late costs more than one at once.
 	reviewTolerance = 0.7
+	// minShareSamples is the number of recent requests of a kind from which its share served
+	// is compared with that of others.
+	minShareSamples = 3
+	// minRefusedCount is the count of refusals from which other hosts are told the counts of
+	// a service.
+	minRefusedCount = 0.2
+	// overloadSlack is the part of the slack within which requests are expected to start that
+	// are accepted in overload. The rest covers what other hosts have sent since the last news.
+	overloadSlack = 0.5
+	// overloadShare is the share of a service's recent requests that were refused, at all
+	// hosts, from which it counts as overloaded.
+	overloadShare = 0.1
+	// minOverloadCount is the number of refusals from which that share is looked at.
+	minOverloadCount = 5
+	// pressureShare is the part of the shortest objective that the expected wait must exceed
+	// for requests of kinds to be refused that have been served better than others.
+	pressureShare = 0.3
+	// arrivalTime is the time constant of the measured rates of arrivals.
+	arrivalTime = 4 * time.Second
+	// maxNewsAge is how long the credit of the last news limits a host; after a second without
+	// news it goes by its own counts.
+	maxNewsAge = time.Second
 	// maxFlows bounds the workspaces whose past use is remembered for a service.
 	maxFlows = 1024
 	// maxQueues bounds the queues whose measurements are remembered.
@@ -60,15 +91,30 @@
 	Committed bool
 }
 
+func (r SlotRequest) withDefaults() SlotRequest {
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	if r.Cost <= 0 {
+		r.Cost = 1
+	}
+	return r
+}
+
 // Supply is what can serve the requests of a queue.
 type Supply struct {
 	// Slots is the number of slots of all upstreams; 0: unknown.
 	Slots int
-	// Ahead is the number of requests elsewhere, at other hosts or in the queues of
-	// upstreams, that are expected to start before those of this host.
-	Ahead int
+	// Elsewhere is the number of requests that wait at other hosts and do not yield, and
+	// Since for how long there have been any, as of the last news.
+	Elsewhere int
+	Since     time.Time // zero: there are none
+	// Queued is the number of requests in the queues of the upstreams.
+	Queued int
 }
 
+func (s *Supply) ahead() int { return s.Elsewhere + s.Queued }
+
 // Entry is a request in a Backlog.
 type Entry struct {
 	Request     SlotRequest
@@ -77,6 +123,7 @@
 	submittedAt time.Time
 	limit       time.Time // latest acceptable start, for the decision to refuse
 	sequence    uint64
+	hog         bool // its workspace asks for much more than others
 	place       place
 }
 
@@ -120,8 +167,11 @@
 type slotService struct {
 	fair        fairQueue // flows are used for their tags only
 	kinds       map[kind]*servedShare
-	serviceTime ewma // seconds
-	first       ewma // seconds from the start of a run to its response or first event
+	usage       map[string]*usage // by workspace
+	total       usage
+	hogAt       time.Time // last request of a workspace that asks for much more than others
+	serviceTime ewma      // seconds
+	first       ewma      // seconds from the start of a run to its response or first event
 }
 
 // kind identifies requests that are expected to be served equally often.
@@ -143,12 +193,21 @@
 	// missSince is since when requests have been expected to miss their objectives, missAt
 	// when one was expected to last; zero: never.
 	missSince, missAt time.Time
+	// While limited, credit is the number of requests that may be sent before the next news.
+	limited bool
+	credit  float64
+	newsAt  time.Time
+	// contended reports that a request found no slot since this was last told.
+	contended bool
+	arrivals  arrivalRate
 }
 
 // servedShare is the share of the requests of a kind that was not refused.
 type servedShare struct {
 	served, refused float64
 	at              time.Time
+	// elsewhere are the counts of other hosts, as of the last news.
+	elsewhereServed, elsewhereRefused float64
 }
 
 func (s *servedShare) add(now time.Time, served, refused float64) {
@@ -161,7 +220,52 @@
 }
 
 // value counts two more as served, so that the first refusal decides little.
-func (s *servedShare) value() float64 { return (s.served + 2) / (s.served + s.refused + 2) }
+func (s *servedShare) value() float64 {
+	served := max(0, s.served+s.elsewhereServed) + 2
+	return served / (served + s.refused + s.elsewhereRefused)
+}
+
+func (s *servedShare) count() float64 {
+	return s.served + s.refused + s.elsewhereServed + s.elsewhereRefused
+}
+
+// KindCount counts the recent requests of a kind, with the time constant of shareTime.
+type KindCount struct {
+	Service         string
+	Urgency         int
+	Objective       time.Duration
+	Served, Refused float64
+}
+
+// Counts returns the counts of this host of the services of which requests were refused.
+func (b *Backlog) Counts(now time.Time) []KindCount {
+	var counts []KindCount
+	for name, s := range b.services {
+		of, refused := []KindCount{}, 0.0
+		for key, share := range s.kinds {
+			share.add(now, 0, 0)
+			refused += share.refused
+			of = append(of, KindCount{name, key.urgency, key.objective, share.served, share.refused})
+		}
+		if refused >= minRefusedCount {
+			counts = append(counts, of...)
+		}
+	}
+	return counts
+}
+
+// SetElsewhere sets the counts of other hosts.
+func (b *Backlog) SetElsewhere(counts []KindCount) {
+	for _, s := range b.services {
+		for _, share := range s.kinds {
+			share.elsewhereServed, share.elsewhereRefused = 0, 0
+		}
+	}
+	for _, c := range counts {
+		share := b.service(c.Service).share(c.Urgency, c.Objective)
+		share.elsewhereServed, share.elsewhereRefused = c.Served, c.Refused
+	}
+}
 
 // NewBacklog returns an empty Backlog.
 func NewBacklog(limits Limits) *Backlog {
@@ -187,14 +291,14 @@
 func (b *Backlog) service(name string) *slotService {
 	s := b.services[name]
 	if s == nil {
-		s = &slotService{fair: newFairQueue(), kinds: map[kind]*servedShare{}}
+		s = &slotService{fair: newFairQueue(), kinds: map[kind]*servedShare{}, usage: map[string]*usage{}}
 		b.services[name] = s
 	}
 	return s
 }
 
-func (s *slotService) share(r *SlotRequest) *servedShare {
-	key := kind{r.Urgency, r.Objective}
+func (s *slotService) share(urgency int, objective time.Duration) *servedShare {
+	key := kind{urgency, objective}
 	share := s.kinds[key]
 	if share == nil {
 		share = &servedShare{}
@@ -260,8 +364,27 @@
 }
 
 // RecordServed counts a request that got a slot without waiting.
-func (b *Backlog) RecordServed(now time.Time, r *SlotRequest) {
-	b.service(r.Queue.Service).share(r).add(now, 1, 0)
+func (b *Backlog) RecordServed(now time.Time, request *SlotRequest) {
+	r := request.withDefaults()
+	q := b.queue(r.Queue)
+	q.arrivals.add(now, 1)
+	q.spend()
+	s := b.service(r.Queue.Service)
+	s.recordUsage(now, &r)
+	if !s.hogs(now, r.Workspace) {
+		s.share(r.Urgency, r.Objective).add(now, 1, 0)
+	}
+}
+
+// RecordLost corrects the count of a request that was sent to an upstream in vain: its caller
+// left, or its time was over, before it began to be answered.
+func (b *Backlog) RecordLost(now time.Time, r *SlotRequest) {
+	b.service(r.Queue.Service).share(r.Urgency, r.Objective).add(now, -1, 1)
+}
+
+// RecordNotRun takes back the count of a request that its upstream did not run.
+func (b *Backlog) RecordNotRun(now time.Time, r *SlotRequest) {
+	b.service(r.Queue.Service).share(r.Urgency, r.Objective).add(now, -1, 0)
 }
 
 // estimate returns a measurement of the queue or, if it has too few, of its service.
@@ -323,38 +446,167 @@
 	if q.release.count >= minRateSamples {
 		return 0
 	}
-	return q.supply.Ahead
+	return q.supply.ahead()
 }
 
 // Submit adds a request. It returns its entry and those that are refused now, of which it
 // may be one.
 func (b *Backlog) Submit(now time.Time, r SlotRequest) (e *Entry, refused []*Entry) {
-	if r.Weight <= 0 {
-		r.Weight = 1
-	}
-	if r.Cost <= 0 {
-		r.Cost = 1
-	}
+	r = r.withDefaults()
 	b.sequence++
 	e = &Entry{Request: r, submittedAt: now, sequence: b.sequence, limit: r.Deadline}
-	q := b.queue(r.Queue)
+	q, s := b.queue(r.Queue), b.service(r.Queue.Service)
+	s.recordUsage(now, &r)
+	e.hog = s.hogs(now, r.Workspace)
+	q.arrivals.add(now, 1)
+	q.contended = true
 	if err := b.checkLimits(now, e); err != nil {
-		b.refuse(now, e, err, false)
+		b.refuse(now, e, err)
 		return e, []*Entry{e}
 	}
 	b.waiting = append(b.waiting, e)
 	q.waiting++
-	if q.overloaded(now) && !r.Committed {
-		e.limit = earlier(b.Due(&r), r.Deadline)
+	overloaded := q.overloaded(now) || s.refusing()
+	if overloaded && !r.Committed {
+		part := overloadSlack
+		switch {
+		case e.hog:
+			part = hogSlack
+		case r.Patient:
+			part = 0.9 // it yields for most of its slack, and goes first then
+		}
+		e.limit = earlier(now.Add(seconds(part*b.Due(&r).Sub(now).Seconds())), r.Deadline)
 	}
 	if !r.Deadline.After(now) {
-		b.refuse(now, e, &DeadlineError{RetryAfter: b.interval(now, r.Queue)}, false)
+		b.refuse(now, e, &DeadlineError{RetryAfter: b.interval(now, r.Queue)})
 		return e, []*Entry{e}
 	}
 	b.observeMisses(now, r.Queue)
+	wait := b.interval(now, r.Queue) * time.Duration(q.ahead()+q.waiting)
+	if overloaded && !r.Committed && !e.hog && b.preferred(now, &r, wait) {
+		b.refuse(now, e, &DeadlineError{Unmeetable: true, Wait: wait, RetryAfter: wait})
+		return e, []*Entry{e}
+	}
 	return e, b.shed(now, r.Queue, 1)
 }
 
+// refusing reports whether a notable part of the service's requests is refused.
+func (s *slotService) refusing() bool {
+	refused, total := 0.0, 0.0
+	for _, share := range s.kinds {
+		refused += share.refused + share.elsewhereRefused
+		total += share.count()
+	}
+	return refused >= minOverloadCount && refused > overloadShare*total
+}
+
+// preferred reports whether the kind of a request has been served better than others that
+// are as urgent or more. Its requests would take the slots of those that other hosts refuse:
+// a patient kind can outwait every other one.
+func (b *Backlog) preferred(now time.Time, r *SlotRequest, wait time.Duration) bool {
+	s := b.service(r.Queue.Service)
+	own := s.share(r.Urgency, r.Objective)
+	shortest := r.Objective
+	for key := range s.kinds {
+		shortest = min(shortest, key.objective)
+	}
+	pressed := r.Patient && s.refusing() || wait >= seconds(pressureShare*shortest.Seconds())
+	if !pressed || now.Sub(s.hogAt) < standingTime {
+		return false // in the latter case the hog's requests make room
+	}
+	for key, other := range s.kinds {
+		if other == own || key.urgency > r.Urgency || other.count() < minShareSamples {
+			continue
+		}
+		if own.value() > other.value()-urgencyMargin*float64(r.Urgency-key.urgency) {
+			return true
+		}
+	}
+	return false
+}
+
+// News applies what the news say of a queue. If all hosts together are expected to send more
+// than the upstreams have room for until the next news, this host gets credit for its part,
+// by the requests that wait here and arrive: all hosts decide by the same old counts, and
+// without credit each of them would send to the same free place.
+func (b *Backlog) News(now time.Time, key QueueKey, news News) {
+	q := b.queue(key)
+	own := b.ArrivalsPerS(now, key) * news.Interval.Seconds()
+	demand := float64(news.Waiting+q.waiting) + max(own, news.Arrivals)
+	q.limited = news.Room < demand
+	if !q.limited {
+		return
+	}
+	part := news.Room * (float64(q.waiting) + own) / demand
+	q.credit = min(q.credit+part, max(1, 2*part))
+	q.newsAt = now
+}
+
+// arrivalRate is a rate of requests with the time constant arrivalTime.
+type arrivalRate struct {
+	perS float64
+	at   time.Time
+}
+
+func (a *arrivalRate) add(now time.Time, arrivals float64) {
+	decay := math.Exp(-now.Sub(a.at).Seconds() / arrivalTime.Seconds())
+	a.perS, a.at = a.perS*decay+arrivals/arrivalTime.Seconds(), now
+}
+
+// ArrivalsPerS returns the rate of requests of a queue at this host.
+func (b *Backlog) ArrivalsPerS(now time.Time, key QueueKey) float64 {
+	q := b.queue(key)
+	q.arrivals.add(now, 0)
+	return q.arrivals.perS
+}
+
+// EndNews ends the limits of all queues that the last news do not mention.
+func (b *Backlog) EndNews(mentioned func(QueueKey) bool) {
+	for key, q := range b.queues {
+		if q.limited && !mentioned(key) {
+			q.limited, q.credit = false, 0
+		}
+	}
+}
+
+// Contended returns the queues of which a request found no slot since the last call, with
+// the number of their requests that wait and do not yield.
+func (b *Backlog) Contended(now time.Time) map[QueueKey]int {
+	counts := map[QueueKey]int{}
+	for key, q := range b.queues {
+		if q.contended || q.waiting > 0 {
+			counts[key] = 0
+		}
+		q.contended = false
+	}
+	for _, e := range b.waiting {
+		if !b.Yields(now, &e.Request) {
+			counts[e.Request.Queue]++
+		}
+	}
+	return counts
+}
+
+// News is what the last news say of a queue whose upstreams several hosts use.
+type News struct {
+	Room     float64       // requests that the upstreams can take until the next news
+	Waiting  int           // requests that wait at other hosts
+	Arrivals float64       // expected requests at all hosts until the next news
+	Interval time.Duration // between two news
+}
+
+// MaySend reports whether this host may send a request to the upstreams of a queue.
+func (b *Backlog) MaySend(now time.Time, key QueueKey) bool {
+	q := b.queue(key)
+	return !q.limited || now.Sub(q.newsAt) > maxNewsAge || q.credit >= 1
+}
+
+func (q *slotQueue) spend() {
+	if q.limited {
+		q.credit--
+	}
+}
+
 func (b *Backlog) checkLimits(now time.Time, e *Entry) error {
 	wait := b.interval(now, e.Request.Queue) * time.Duration(b.Waiting(e.Request.Queue)+1)
 	if len(b.waiting) >= b.limits.Waiting {
@@ -375,6 +627,9 @@
 // overloaded reports whether requests have been expected to miss their objectives for so
 // long that further ones are better refused.
 func (q *slotQueue) overloaded(now time.Time) bool {
+	if since := q.supply.Since; !since.IsZero() && now.Sub(since) >= standingTime {
+		return true
+	}
 	return !q.missSince.IsZero() && now.Sub(q.missSince) >= standingTime && now.Sub(q.missAt) < standingEnd
 }
 
@@ -426,12 +681,12 @@
 		kept = append(kept, e)
 		wait := interval * time.Duration(q.ahead()+len(kept))
 		if now.Add(seconds(part * wait.Seconds())).After(e.limit) {
-			victim, hog := b.victim(kept)
+			victim := b.victim(kept)
 			if victim == nil {
 				continue
 			}
 			kept = slices.DeleteFunc(kept, func(other *Entry) bool { return other == victim })
-			b.refuse(now, victim, &DeadlineError{Unmeetable: true, Wait: wait, RetryAfter: wait}, hog)
+			b.refuse(now, victim, &DeadlineError{Unmeetable: true, Wait: wait, RetryAfter: wait})
 			refused = append(refused, victim)
 		}
 	}
@@ -441,52 +696,71 @@
 // victim returns which of the requests is refused: one of a workspace that hogs the queue,
 // else one of the kind that is served best, allowing for urgency; of these the newest, as a
 // late refusal costs its caller more. It returns nil if none may be refused.
-func (b *Backlog) victim(among []*Entry) (victim *Entry, hog bool) {
-	hogs := hogging(among)
+func (b *Backlog) victim(among []*Entry) (victim *Entry) {
 	best := 0.0
 	for _, e := range among {
 		if e.Request.Committed {
 			continue
 		}
-		score := b.service(e.Request.Queue.Service).share(&e.Request).value() + urgencyMargin*float64(e.Request.Urgency)
-		if hogs[e.Request.Workspace] {
-			score += 100
+		score := b.service(e.Request.Queue.Service).share(e.Request.Urgency, e.Request.Objective).value() + urgencyMargin*float64(e.Request.Urgency)
+		if e.hog {
+			score++ // more than any share
 		}
 		if victim == nil || score > best || score == best && e.sequence > victim.sequence {
 			victim, best = e, score
 		}
 	}
-	return victim, victim != nil && hogs[victim.Request.Workspace]
+	return victim
 }
 
-// hogging returns the workspaces that wait with much more than the others.
-func hogging(entries []*Entry) map[string]bool {
-	costs, total := map[string]float64{}, 0.0
-	for _, e := range entries {
-		cost := e.Request.Cost / e.Request.Weight
-		costs[e.Request.Workspace] += cost
-		total += cost
-	}
-	if len(costs) < 2 {
-		return nil
-	}
-	hogs := map[string]bool{}
-	for workspace, cost := range costs {
-		others := (total - cost) / float64(len(costs)-1)
-		if cost > hoggingRatio*others && len(entries) > 2*len(costs) {
-			hogs[workspace] = true
+// usage is what a workspace has asked for lately.
+type usage struct {
+	cost  float64 // by weight, decayed with shareTime
+	count float64
+	at    time.Time
+}
+
+func (u *usage) add(now time.Time, cost, count float64) {
+	decay := math.Exp(-now.Sub(u.at).Seconds() / shareTime.Seconds())
+	u.cost, u.count, u.at = u.cost*decay+cost, u.count*decay+count, now
+}
+
+// recordUsage counts an arriving request for its workspace.
+func (s *slotService) recordUsage(now time.Time, r *SlotRequest) {
+	u := s.usage[r.Workspace]
+	if u == nil {
+		if len(s.usage) >= maxFlows {
+			maps.DeleteFunc(s.usage, func(_ string, u *usage) bool { return now.Sub(u.at) > shareTime })
 		}
+		u = &usage{}
+		s.usage[r.Workspace] = u
+	}
+	u.add(now, r.Cost/r.Weight, 1)
+	s.total.add(now, r.Cost/r.Weight, 1)
+}
+
+// hogs reports whether a workspace asks for much more than the others on average.
+func (s *slotService) hogs(now time.Time, workspace string) bool {
+	own := s.usage[workspace]
+	if own == nil || len(s.usage) < 2 || s.total.count < minUsageCount {
+		return false
+	}
+	own.add(now, 0, 0)
+	s.total.add(now, 0, 0)
+	if own.cost <= hoggingRatio*(s.total.cost-own.cost)/float64(len(s.usage)-1) {
+		return false
 	}
-	return hogs
+	s.hogAt = now
+	return true
 }
 
-// refuse ends the wait of an entry with an error. The refusals of a workspace that hogs the
-// queue do not count for its kind: other workspaces would pay for them.
-func (b *Backlog) refuse(now time.Time, e *Entry, err error, hog bool) {
+// refuse ends the wait of an entry with an error. What is refused or served of a workspace that
+// asks for much more than the others does not count for its kind: others would pay for it.
+func (b *Backlog) refuse(now time.Time, e *Entry, err error) {
 	b.remove(e, Expired)
 	e.Err = err
-	if !hog {
-		b.service(e.Request.Queue.Service).share(&e.Request).add(now, 0, 1)
+	if !e.hog {
+		b.service(e.Request.Queue.Service).share(e.Request.Urgency, e.Request.Objective).add(now, 0, 1)
 	}
 }
 
@@ -518,7 +792,7 @@
 func (b *Backlog) Review(now time.Time) (refused []*Entry) {
 	for _, e := range slices.Clone(b.waiting) {
 		if !e.Request.Deadline.After(now) {
-			b.refuse(now, e, &DeadlineError{Wait: now.Sub(e.submittedAt), RetryAfter: b.interval(now, e.Request.Queue)}, false)
+			b.refuse(now, e, &DeadlineError{Wait: now.Sub(e.submittedAt), RetryAfter: b.interval(now, e.Request.Queue)})
 			refused = append(refused, e)
 		}
 	}
@@ -535,18 +809,22 @@
 	type group struct {
 		tier    tier
 		urgency int
+		hog     bool
 	}
 	groupDue := map[group]time.Time{}
 	for _, e := range b.waiting {
 		p := b.placeOf(now, e)
-		key := group{p.tier, p.urgency}
+		key := group{p.tier, p.urgency, e.hog}
 		groupDue[key] = earlier(groupDue[key], p.due)
 		e.place = p
 	}
 	order := slices.Clone(b.waiting)
 	for _, e := range order {
-		due := groupDue[group{e.place.tier, e.place.urgency}]
+		due := groupDue[group{e.place.tier, e.place.urgency, e.hog}]
 		e.place.groupDue = due.Add(urgencyStep * time.Duration(e.place.urgency))
+		if e.hog {
+			e.place.groupDue = e.place.groupDue.Add(hogDelay)
+		}
 	}
 	slices.SortFunc(order, func(a, c *Entry) int {
 		return cmp.Or(cmp.Compare(a.place.tier, c.place.tier), a.place.groupDue.Compare(c.place.groupDue),
@@ -589,7 +867,10 @@
 		q.release.add(now.Sub(q.lastRelease).Seconds())
 	}
 	q.lastRelease = now
+	q.spend()
 	s.charge(&e.Request)
-	s.share(&e.Request).add(now, 1, 0)
+	if !e.hog {
+		s.share(e.Request.Urgency, e.Request.Objective).add(now, 1, 0)
+	}
 	b.remove(e, Dispatched)
 }
--- a/internal/admission/backlog_dump.go
+++ b/internal/admission/backlog_dump.go
@@ -19,6 +19,9 @@
 	ServiceTimeMS int64   `json:"service_time_ms"`
 	FirstMS       int64   `json:"first_ms"` // from the start of a run to its response or first event
 	Overloaded    bool    `json:"overloaded"`
+	// Limited reports that this host may send Credit requests before the next news.
+	Limited bool    `json:"limited"`
+	Credit  float64 `json:"credit"`
 }
 
 // Explain returns the state of a queue on which decisions are based.
@@ -29,7 +32,8 @@
 		IntervalMS:    float64(b.interval(now, key).Microseconds()) / 1000,
 		ServiceTimeMS: b.ServiceTime(key).Milliseconds(),
 		FirstMS:       seconds(estimate(q.first, b.service(key.Service).first)).Milliseconds(),
-		Overloaded:    q.overloaded(now),
+		Overloaded:    q.overloaded(now) || b.service(key.Service).refusing(),
+		Limited:       q.limited, Credit: q.credit,
 	}
 	for _, e := range b.of(key) {
 		dump.OldestMS = max(dump.OldestMS, now.Sub(e.submittedAt).Milliseconds())
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -70,6 +70,7 @@
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
 	crashReports  *crashReports
+	queues        *queueTracker
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
 	storeStarts   []time.Duration
@@ -105,6 +106,7 @@
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
 	c.crashReports = newCrashReports(c.log)
+	c.queues = newQueueTracker()
 	c.estimates = nil
 	c.poolHosts = nil
 	c.leaving = nil
@@ -128,11 +130,14 @@
 	defer c.mu.Unlock()
 	if request.Departed {
 		c.ledger.Remove(request.Host)
+		c.queues.remove(request.Host)
 		return &ExchangeReply{Holder: true, Epoch: epoch}
 	}
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
+	c.queues.record(now, request)
+	c.queues.expire(now)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
 			engine.suspected = true
@@ -150,6 +155,7 @@
 	reply.Estimates = c.estimatesFor(request)
 	c.crashReports.reply(now, reply)
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
+	c.queues.reply(now, c.demand.rates, request.Host, reply)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
 	return reply
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -81,6 +81,10 @@
 	Leaving []Incarnation `json:"leaving,omitempty"`
 	// Paused are upstreams that told the host to send nothing for some time.
 	Paused []string `json:"paused,omitempty"`
+	// Queued are the queues of the host in which requests wait or found no slot lately.
+	Queued []QueuedCount `json:"queued,omitempty"`
+	// Kinds count the host's recent requests of services of which it refused some.
+	Kinds []KindCount `json:"kinds,omitempty"`
 	// Tables are the revisions of the host's table replicas, by table.
 	Tables map[string]int64 `json:"tables,omitempty"`
 	// Departed reports that the host has stopped: it spends nothing any more.
@@ -158,6 +162,10 @@
 	Tables map[string]table.Update `json:"tables,omitempty"`
 	// Running counts the requests of all other hosts at upstreams with notable load.
 	Running []RunningCount `json:"running,omitempty"`
+	// Queued are the models and plain services for which any host has too few slots.
+	Queued []QueuedDemand `json:"queued,omitempty"`
+	// Kinds count the recent requests of the other hosts that report them.
+	Kinds []KindCount `json:"kinds,omitempty"`
 	// Leaving are upstreams that told a host that they leave. Their entries may not say so
 	// yet.
 	Leaving []Incarnation `json:"withdrawn,omitempty"`
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -270,6 +270,7 @@
 // handleLostAnswer decides what follows a send whose connection ended before the answer.
 func (d *dispatcher) handleLostAnswer(id string, err error) (bool, *refusal) {
 	if d.ctx.Err() != nil {
+		d.gateway.slots.recordLost(d)
 		return false, d.timedOut()
 	}
 	if d.isCancelledRun() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -156,7 +156,7 @@
 	e.applyTables(reply, requestedAt, now)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
-	e.slots.freed()
+	e.slots.applyNews(reply)
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
 	}
@@ -209,6 +209,7 @@
 		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 	}
+	e.slots.report(request)
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -10,16 +10,12 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
-	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 )
 
 const (
 	// slotQueueInterval is the interval of looking at the queue while requests wait: slack
 	// runs out, other hosts' requests end, and replicas come and go without a message.
 	slotQueueInterval = 40 * time.Millisecond
-	// maxUpstreamQueue bounds the requests beyond an upstream's slots up to which a host
-	// sends it more. Engines queue 12 or more, and all hosts decide at the same time.
-	maxUpstreamQueue = 6
 	// minFullTime and maxFullTime bound how long an upstream that refused a request for lack
 	// of room gets no further one, unless a request of this host ends there.
 	minFullTime = 60 * time.Millisecond
@@ -29,9 +25,10 @@
 	// patientRatio is the ratio of a route's objective to the shortest one of its service
 	// from which its requests yield to others while they have slack.
 	patientRatio = 2
-	// maxQueuedRequests and maxQueuedPerWorkspace bound the memory of waiting requests.
-	maxQueuedRequests     = 2048
-	maxQueuedPerWorkspace = 1024
+	// maxQueuedRequests and maxQueuedPerWorkspace bound the memory of waiting requests, and the
+	// time that it takes to order them.
+	maxQueuedRequests     = 1024
+	maxQueuedPerWorkspace = 512
 )
 
 // slotQueue holds the requests for which no upstream has a free slot, as far as this host
@@ -47,8 +44,7 @@
 	full    map[string]time.Time // until when an upstream counts as full, by ID
 	timer   *time.Timer
 	armed   bool
-	others  map[coordinator.ModelKey]int // requests that wait at other hosts
-	hold    map[string]int               // slots left to the requests that wait at other hosts, by upstream
+	news    map[admission.QueueKey]queueNews
 }
 
 // slotWaiter is a request in the queue. Its fields are set before ready is closed.
@@ -85,12 +81,13 @@
 		return selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried), false, nil
 	}
 	q.mu.Lock()
-	if q.backlog.Waiting(d.queueKey()) == 0 {
-		if selected := d.pick(usable, q.withRoom(usable, nil)); selected != nil {
+	now, key := time.Now(), d.queueKey()
+	if q.backlog.Waiting(key) == 0 && q.backlog.MaySend(now, key) {
+		if selected := d.pick(usable, q.withRoom(usable, d, nil, now)); selected != nil {
 			if selected.HasAdapter {
 				d.hold(q.takeSlot(d, selected))
 			}
-			q.backlog.RecordServed(time.Now(), d.slotRequest())
+			q.backlog.RecordServed(now, d.slotRequest())
 			q.mu.Unlock()
 			return selected, false, nil
 		}
@@ -123,7 +120,7 @@
 	return selected
 }
 
-// hold keeps the slot of the next send. An empty release is ignored.
+// hold keeps the slot that was taken for the next send; nil: none.
 func (d *dispatcher) hold(release func()) { d.releaseSlot = release }
 
 // dropSlot releases the slot of a send that does not take place.
@@ -191,6 +188,7 @@
 // submit adds a request to the queue. It requires q.mu.
 func (q *slotQueue) submit(d *dispatcher, usable []Candidate) *slotWaiter {
 	now := time.Now()
+	q.forgetNews()
 	r := d.slotRequest()
 	q.backlog.SetSupply(r.Queue, q.supply(r.Queue, usable))
 	w := &slotWaiter{dispatcher: d, ready: make(chan struct{})}
@@ -256,7 +254,7 @@
 
 // release passes waiting requests on to free slots. It requires q.mu.
 func (q *slotQueue) release(now time.Time) {
-	p := slotPass{queue: q, now: now, candidates: map[candidatesKey][]Candidate{}}
+	p := slotPass{queue: q, now: now, candidates: map[candidatesKey][]Candidate{}, closed: map[closedKey]bool{}}
 	for {
 		entry := q.backlog.Next(now, p.fits)
 		if entry == nil {
@@ -309,7 +307,7 @@
 		"model", r.Queue.Model, "workspace", r.Workspace, "urgency", r.Urgency, "patient", r.Patient,
 		"waited_ms", now.Sub(entry.SubmittedAt()).Milliseconds(), "slack_ms", q.backlog.Due(r).Sub(now).Milliseconds(),
 		"left_ms", r.Deadline.Sub(now).Milliseconds(), "waiting", state.Waiting, "slots", state.Slots, "ahead", state.Ahead,
-		"interval_ms", state.IntervalMS, "overloaded", state.Overloaded, "news_age_ms", q.gateway.exchanger.newsAge().Milliseconds())
+		"interval_ms", state.IntervalMS, "overloaded", state.Overloaded, "limited", state.Limited, "news_age_ms", q.gateway.exchanger.newsAge().Milliseconds())
 }
 
 // tick looks at the queue while requests wait.
@@ -349,16 +347,6 @@
 	return q.backlog.Dump(time.Now())
 }
 
-// freed passes waiting requests on after slots have come free or become known.
-func (q *slotQueue) freed() {
-	if !q.hasWaiting() {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.release(time.Now())
-}
-
 // takeSlot counts a request at an upstream at once, so that no other one gets the same
 // slot. It requires q.mu.
 func (q *slotQueue) takeSlot(d *dispatcher, selected *Candidate) (release func()) {
@@ -389,10 +377,23 @@
 			delete(q.full, other)
 		}
 	}
+	q.backlog.RecordNotRun(now, d.slotRequest())
 	turnover := q.backlog.ServiceTime(d.queueKey()) / time.Duration(max(1, slots))
 	q.full[id] = now.Add(min(max(minFullTime, turnover), maxFullTime))
 }
 
+// recordLost records that a request was sent in vain: its time was over, or its caller left
+// after the objective, before the answer began.
+func (q *slotQueue) recordLost(d *dispatcher) {
+	now := time.Now()
+	if d.relay.started || now.Sub(d.startedAt) < d.route.Objective {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.backlog.RecordLost(now, d.slotRequest())
+}
+
 // forgetRefusals lets a request go again to the upstreams that refused it for lack of room,
 // if it has tried all of them.
 func (q *slotQueue) forgetRefusals(candidates []Candidate, tried map[string]bool) {
