--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -56,6 +56,8 @@
 	// pressureShare is the part of the shortest objective that the expected wait must exceed
 	// for requests of kinds to be refused that have been served better than others.
 	pressureShare = 0.3
+	// releaseTime is the time constant of the measured intervals between releases.
+	releaseTime = 4 * time.Second
 	// arrivalTime is the time constant of the measured rates of arrivals.
 	arrivalTime = 4 * time.Second
 	// maxNewsAge is how long the credit of the last news limits a host; after a second without
@@ -184,12 +186,9 @@
 type slotQueue struct {
 	supply      Supply
 	waiting     int
-	serviceTime ewma // seconds
-	first       ewma // seconds
-	// release is the interval between releases while requests wait, in seconds. It includes
-	// the slots that other hosts and other queues take.
-	release     ewma
-	lastRelease time.Time // zero: none since requests began to wait
+	serviceTime ewma        // seconds
+	first       ewma        // seconds
+	releases    releaseRate // while requests wait, with the slots that others take left out
 	// missSince is since when requests have been expected to miss their objectives, missAt
 	// when one was expected to last; zero: never.
 	missSince, missAt time.Time
@@ -346,7 +345,7 @@
 func (b *Backlog) SetSupply(key QueueKey, supply Supply) {
 	q := b.queue(key)
 	if q.supply.Slots != supply.Slots {
-		q.release, q.lastRelease = ewma{}, time.Time{}
+		q.releases = releaseRate{at: q.releases.at}
 	}
 	q.supply = supply
 }
@@ -430,9 +429,8 @@
 // interval returns the expected time between two releases of a queue; 0: unknown.
 func (b *Backlog) interval(now time.Time, key QueueKey) time.Duration {
 	q := b.queue(key)
-	if q.release.count >= minRateSamples {
-		// Releases that stay away show that the measured rate no longer holds.
-		return max(seconds(q.release.value), now.Sub(q.lastRelease)/2)
+	if interval, ok := b.measured(now, key, q); ok {
+		return interval
 	}
 	if q.supply.Slots == 0 {
 		return 0
@@ -442,13 +440,43 @@
 
 // ahead returns the releases to others that are expected before those to this host, if
 // interval does not include them.
-func (q *slotQueue) ahead() int {
-	if q.release.count >= minRateSamples {
+func (b *Backlog) ahead(now time.Time, key QueueKey) int {
+	q := b.queue(key)
+	if _, ok := b.measured(now, key, q); ok {
 		return 0
 	}
 	return q.supply.ahead()
 }
 
+// releaseRate measures the interval between releases of a queue while requests wait. It
+// includes the slots that other hosts and other queues take.
+type releaseRate struct {
+	busy     float64 // seconds, decayed with releaseTime
+	released float64 // likewise
+	at       time.Time
+}
+
+func (r *releaseRate) add(now time.Time, released float64) {
+	if !r.at.IsZero() {
+		decay := math.Exp(-now.Sub(r.at).Seconds() / releaseTime.Seconds())
+		r.busy = r.busy*decay + releaseTime.Seconds()*(1-decay)
+		r.released *= decay
+	}
+	r.released += released
+	r.at = now
+}
+
+// measured returns the measured interval between releases. Runs that began together end
+// together, so it is of use only after a whole service time.
+func (b *Backlog) measured(now time.Time, key QueueKey, q *slotQueue) (time.Duration, bool) {
+	r := q.releases
+	r.add(now, 0)
+	if r.released < minRateSamples || r.busy < b.ServiceTime(key).Seconds() {
+		return 0, false
+	}
+	return seconds(r.busy / r.released), true
+}
+
 // Submit adds a request. It returns its entry and those that are refused now, of which it
 // may be one.
 func (b *Backlog) Submit(now time.Time, r SlotRequest) (e *Entry, refused []*Entry) {
@@ -466,6 +494,9 @@
 	}
 	b.waiting = append(b.waiting, e)
 	q.waiting++
+	if q.waiting == 1 {
+		q.releases.at = now
+	}
 	overloaded := q.overloaded(now) || s.refusing()
 	if overloaded && !r.Committed {
 		part := overloadSlack
@@ -482,7 +513,7 @@
 		return e, []*Entry{e}
 	}
 	b.observeMisses(now, r.Queue)
-	wait := b.interval(now, r.Queue) * time.Duration(q.ahead()+q.waiting)
+	wait := b.interval(now, r.Queue) * time.Duration(b.ahead(now, r.Queue)+q.waiting)
 	if overloaded && !r.Committed && !e.hog && b.preferred(now, &r, wait) {
 		b.refuse(now, e, &DeadlineError{Unmeetable: true, Wait: wait, RetryAfter: wait})
 		return e, []*Entry{e}
@@ -642,9 +673,9 @@
 		e.place.due = b.Due(&e.Request)
 	}
 	slices.SortFunc(entries, func(a, c *Entry) int { return a.place.due.Compare(c.place.due) })
-	interval := b.interval(now, key)
+	interval, ahead := b.interval(now, key), b.ahead(now, key)
 	for i, e := range entries {
-		if now.Add(interval * time.Duration(q.ahead()+i+1)).After(e.place.due) {
+		if now.Add(interval * time.Duration(ahead+i+1)).After(e.place.due) {
 			if q.missSince.IsZero() || now.Sub(q.missAt) >= standingEnd {
 				q.missSince = now
 			}
@@ -673,13 +704,13 @@
 	if interval == 0 {
 		return nil // nothing is refused without a measurement
 	}
-	q := b.queue(key)
+	ahead := b.ahead(now, key)
 	entries := b.of(key)
 	slices.SortStableFunc(entries, func(a, c *Entry) int { return a.limit.Compare(c.limit) })
 	kept := make([]*Entry, 0, len(entries))
 	for _, e := range entries {
 		kept = append(kept, e)
-		wait := interval * time.Duration(q.ahead()+len(kept))
+		wait := interval * time.Duration(ahead+len(kept))
 		if now.Add(seconds(part * wait.Seconds())).After(e.limit) {
 			victim := b.victim(kept)
 			if victim == nil {
@@ -774,7 +805,7 @@
 	q := b.queue(e.Request.Queue)
 	q.waiting--
 	if q.waiting == 0 {
-		q.release, q.lastRelease = ewma{}, time.Time{}
+		q.releases = releaseRate{}
 	}
 }
 
@@ -863,10 +894,7 @@
 
 func (b *Backlog) dispatch(now time.Time, e *Entry) {
 	q, s := b.queue(e.Request.Queue), b.service(e.Request.Queue.Service)
-	if !q.lastRelease.IsZero() {
-		q.release.add(now.Sub(q.lastRelease).Seconds())
-	}
-	q.lastRelease = now
+	q.releases.add(now, 1)
 	q.spend()
 	s.charge(&e.Request)
 	if !e.hog {
--- a/internal/admission/backlog_dump.go
+++ b/internal/admission/backlog_dump.go
@@ -28,7 +28,7 @@
 func (b *Backlog) Explain(now time.Time, key QueueKey) BacklogDump {
 	q := b.queue(key)
 	dump := BacklogDump{
-		Service: key.Service, Model: key.Model, Waiting: q.waiting, Slots: q.supply.Slots, Ahead: q.ahead(),
+		Service: key.Service, Model: key.Model, Waiting: q.waiting, Slots: q.supply.Slots, Ahead: b.ahead(now, key),
 		IntervalMS:    float64(b.interval(now, key).Microseconds()) / 1000,
 		ServiceTimeMS: b.ServiceTime(key).Milliseconds(),
 		FirstMS:       seconds(estimate(q.first, b.service(key.Service).first)).Milliseconds(),
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -10,6 +10,13 @@
 const (
 	// rateTimeConstant is the time constant of the measured request rates.
 	rateTimeConstant = 4 * time.Second
+	// steadyTimeConstant is the time constant of the rates by which models are ranked for
+	// eviction. Most models are requested less than once in rateTimeConstant, so that their
+	// short-term rates are all near zero.
+	steadyTimeConstant = time.Minute
+	// minObservedPart bounds the correction of steady rates after the start of a term, when
+	// one request would count as many.
+	minObservedPart = 0.1
 	// hostReportTTL is how long a host's last report about its requests is used.
 	hostReportTTL = 1500 * time.Millisecond
 	// notableLoadDivisor defines notable load: hosts are told about each other's requests
@@ -24,6 +31,7 @@
 type modelRate struct {
 	rate        float64 // requests per second
 	adapterRate float64 // part of rate that names an adapter
+	steady      float64 // requests per second, over steadyTimeConstant
 	at          time.Duration
 	lastSeen    time.Duration
 }
@@ -32,6 +40,7 @@
 	decay := math.Exp(-(now - r.at).Seconds() / rateTimeConstant.Seconds())
 	r.rate = r.rate*decay + float64(arrivals)/rateTimeConstant.Seconds()
 	r.adapterRate = r.adapterRate*decay + float64(adapterArrivals)/rateTimeConstant.Seconds()
+	r.steady = r.steady*math.Exp(-(now-r.at).Seconds()/steadyTimeConstant.Seconds()) + float64(arrivals)/steadyTimeConstant.Seconds()
 	r.at = now
 	if arrivals > 0 {
 		r.lastSeen = now
@@ -47,16 +56,20 @@
 	unreachable []string
 	paused      []string
 	leaving     []Incarnation
+	cold        []ColdUpstream
 }
 
 // demandTracker collects the demand that hosts report. It is not safe for concurrent use.
 type demandTracker struct {
-	rates map[ModelKey]*modelRate
-	hosts map[string]hostReport
+	started time.Duration // time of the first report; 0: none yet
+	rates   map[ModelKey]*modelRate
+	hosts   map[string]hostReport
 	// atUpstream, atModel and atAdapter count the running requests of all hosts.
 	atUpstream map[string]int
-	atModel    map[upstreamModel]int
-	atAdapter  map[upstreamModel]int // with the model as MODEL/ADAPTER
+	// tokensAt counts the tokens of the running requests of all hosts.
+	tokensAt  map[string]int
+	atModel   map[upstreamModel]int
+	atAdapter map[upstreamModel]int // with the model as MODEL/ADAPTER
 	// adapterRequestedAt is the time at which an adapter was last requested or running, by
 	// MODEL/ADAPTER. Model names are unique across services.
 	adapterRequestedAt map[string]time.Duration
@@ -67,7 +80,7 @@
 func newDemandTracker() *demandTracker {
 	return &demandTracker{
 		rates: map[ModelKey]*modelRate{}, hosts: map[string]hostReport{},
-		atUpstream: map[string]int{}, atModel: map[upstreamModel]int{}, atAdapter: map[upstreamModel]int{},
+		atUpstream: map[string]int{}, tokensAt: map[string]int{}, atModel: map[upstreamModel]int{}, atAdapter: map[upstreamModel]int{},
 		adapterRequestedAt: map[string]time.Duration{},
 	}
 }
@@ -76,6 +89,7 @@
 func (t *demandTracker) count(running []RunningCount, sign int) {
 	for _, r := range running {
 		addTo(t.atUpstream, r.Upstream, sign*r.Count)
+		addTo(t.tokensAt, r.Upstream, sign*r.Tokens)
 		addTo(t.atModel, upstreamModel{r.Upstream, r.Model}, sign*r.Count)
 		if r.Adapter != "" {
 			addTo(t.atAdapter, upstreamModel{r.Upstream, r.Model + "/" + r.Adapter}, sign*r.Count)
@@ -91,11 +105,14 @@
 }
 
 func (t *demandTracker) record(now time.Duration, request *ExchangeRequest) {
+	if t.started == 0 {
+		t.started = now
+	}
 	t.count(t.hosts[request.Host].running, -1)
 	t.count(request.Running, 1)
 	t.hosts[request.Host] = hostReport{
 		at: now, demand: request.Demand, running: request.Running, unreachable: request.Unreachable,
-		paused: request.Paused, leaving: request.Leaving,
+		paused: request.Paused, leaving: request.Leaving, cold: request.Cold,
 		poolHost: PoolHost{Address: request.Address, DataCenter: request.DataCenter}, large: request.Large,
 	}
 	for _, r := range request.Running {
@@ -170,6 +187,8 @@
 		}
 		return demand[model]
 	}
+	// The moving average begins at zero; it has seen this part of its weight.
+	observed := max(minObservedPart, 1-math.Exp(-(now-t.started).Seconds()/steadyTimeConstant.Seconds()))
 	for key, rate := range t.rates {
 		if key.Service != service {
 			continue
@@ -177,6 +196,7 @@
 		rate.add(now, 0, 0)
 		d := get(key.Model)
 		d.Rate, d.AdapterRate, d.LastSeen = rate.rate, rate.adapterRate, rate.lastSeen
+		d.SteadyRate = rate.steady / observed
 	}
 	for _, report := range t.hosts {
 		for _, m := range report.demand {
@@ -214,13 +234,15 @@
 }
 
 // notableLoads returns the upstreams whose running requests take a notable part of the
-// batch, so that hosts should prefer other upstreams. slots returns the batch size of an
-// upstream.
-func (t *demandTracker) notableLoads(slots func(upstream string) int) []RunningCount {
+// batch or of the KV memory, so that hosts should prefer other upstreams. capacity returns the
+// batch size of an upstream and its KV memory in tokens, 0 if it has none.
+func (t *demandTracker) notableLoads(capacity func(upstream string) (slots, memoryTokens int)) []RunningCount {
 	var counts []RunningCount
 	for upstream, count := range t.atUpstream {
-		if count > slots(upstream)/notableLoadDivisor {
-			counts = append(counts, RunningCount{Upstream: upstream, Count: count})
+		slots, memory := capacity(upstream)
+		tokens := t.tokensAt[upstream]
+		if count > slots/notableLoadDivisor || memory > 0 && tokens > memory/notableLoadDivisor {
+			counts = append(counts, RunningCount{Upstream: upstream, Count: count, Tokens: tokens})
 		}
 	}
 	return counts
@@ -228,14 +250,16 @@
 
 // excludeHost returns counts without the given host's own requests.
 func (t *demandTracker) excludeHost(host string, counts []RunningCount) []RunningCount {
-	own := map[string]int{}
+	own := map[string]RunningCount{}
 	for _, r := range t.hosts[host].running {
-		own[r.Upstream] += r.Count
+		sum := own[r.Upstream]
+		own[r.Upstream] = RunningCount{Count: sum.Count + r.Count, Tokens: sum.Tokens + r.Tokens}
 	}
 	var remaining []RunningCount
 	for _, r := range counts {
-		if count := r.Count - own[r.Upstream]; count > 0 {
-			remaining = append(remaining, RunningCount{Upstream: r.Upstream, Count: count})
+		if count := r.Count - own[r.Upstream].Count; count > 0 {
+			tokens := max(0, r.Tokens-own[r.Upstream].Tokens)
+			remaining = append(remaining, RunningCount{Upstream: r.Upstream, Count: count, Tokens: tokens})
 		}
 	}
 	return remaining
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,7 +11,9 @@
 	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/presence"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -52,9 +54,15 @@
 	// releaseSlot releases the slot that was taken for the next send; nil: none.
 	releaseSlot func()
 	entry       *admission.Entry // of the last wait for a slot
-	relay       relay
-	upstream    *catalog.Upstream // of the current run
-	runCtx      context.Context   // of the current run
+	// coldPermit is that of the current run, if its upstream is cold.
+	coldPermit coldstart.Permit
+	relay      relay
+	upstream   *catalog.Upstream // of the current run
+	// candidate is the choice of upstream, run the measurement of its pace; nil before the
+	// send.
+	candidate *Candidate
+	run       *pace.Run
+	runCtx    context.Context // of the current run
 	// stopWatch ends the watch for a quarantine that cancels the current run.
 	stopWatch func()
 	// sentAt is when the current run was sent, outputAt when its first event arrived; zero:
@@ -138,6 +146,8 @@
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
 	defer d.trackSend(id)()
+	d.candidate, d.run = candidate, nil
+	defer func() { d.gateway.registry.EndRun(d.run, false) }()
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
 	d.runCtx, d.stopWatch = ctx, d.gateway.exchanger.quarantine.watch(d.keys, cancel)
@@ -216,13 +226,15 @@
 		d.withheld++ // the next send is refused with the reason
 		return false
 	}
-	if !d.gateway.registry.BeginSend(to) {
+	if !d.gateway.registry.BeginSend(to) || !d.takeCold(to) {
 		d.withheld++
 		d.gateway.metrics.sendsWithheld.Inc()
-		d.gateway.log.Info("Send withheld; the upstream leaves or wants no requests.", "request", d.request.ID, "upstream", to.ID)
+		d.gateway.log.Info("Send withheld; the upstream leaves, wants no requests, is evacuated or cold.", "request", d.request.ID, "upstream", to.ID)
 		return false
 	}
 	d.departure.countSend()
+	d.gateway.registry.EndRun(d.run, false)
+	d.run = d.gateway.registry.BeginRun(d.candidate, d.request.PromptTokens)
 	d.sentAt, d.outputAt, d.survived = time.Now(), time.Time{}, false
 	return true
 }
@@ -306,6 +318,9 @@
 	}
 	d.tried[id] = true
 	misdirected := d.gateway.protocol.Misdirected(response.Status)
+	if misdirected {
+		d.returnCold()
+	}
 	switch {
 	case misdirected && d.isEngine():
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,8 @@
 	relayedAt    atomic.Int64 // end of the last exchange that confirmed all replicas, on the boot clock
 	hostCount    atomic.Int64
 	adapterCalls adapterCallGroup
+
+	allowanceWake chan struct{} // requests wait for a grant
 }
 
 // Reached reports whether the coordinator responded within reachedTimeout.
@@ -156,6 +158,7 @@
 	e.applyTables(reply, requestedAt, now)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
+	e.registry.cold.applyReply(reply, requestedAt)
 	e.slots.applyNews(reply)
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
@@ -201,6 +204,7 @@
 
 func (e *exchanger) newRequest(report quarantineReport) *coordinator.ExchangeRequest {
 	epoch, version := e.registry.ViewVersion()
+	paces, paceVersion := e.registry.takePaces()
 	request := &coordinator.ExchangeRequest{
 		Host: e.settings.Host, DataCenter: e.settings.DataCenter, Address: e.settings.PeerListen, Large: e.settings.isLarge(),
 		Epoch: epoch, ViewVersion: version,
@@ -208,11 +212,15 @@
 		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Tables: map[string]int64{},
 		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
+		Paces: paces, PaceVersion: paceVersion,
 	}
 	e.slots.report(request)
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
 	}
+	if config := e.config(); config != nil && config.LimitsCold() {
+		e.registry.fillCold(request)
+	}
 	if config := e.config(); config != nil {
 		request.Needs = e.balances.Needs(clock.SinceBoot(), config.Workspaces)
 	}
@@ -252,6 +260,11 @@
 	return e.coordinator.Adapter(ctx, request)
 }
 
+// Allowance implements coordinator.Service.
+func (e *exchanger) Allowance(_ context.Context, request *coordinator.AllowanceRequest) *coordinator.AllowanceReply {
+	return e.coordinator.Allowance(request)
+}
+
 // Pool implements coordinator.Service.
 func (e *exchanger) Pool(_ context.Context, request *coordinator.PoolRequest) *coordinator.PoolReply {
 	return e.poolExchanger.settle(request)
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 )
@@ -65,6 +66,10 @@
 	Queues []admission.BacklogDump `json:"queues"`
 	// Statements are what upstreams have said of themselves.
 	Statements []statement.Dump `json:"statements"`
+	// Evacuations are the data centers whose upstreams get nothing more.
+	Evacuations []EvacuationDump `json:"evacuations"`
+	// ColdUpstreams are the upstreams to which requests are limited.
+	ColdUpstreams []coldstart.Dump `json:"cold_upstreams"`
 }
 
 // State returns the state dump.
@@ -76,6 +81,7 @@
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
 		Queues:     g.slots.dump(),
-		Statements: g.registry.statements.Dump(clock.SinceBoot()),
+		Statements: g.registry.statements.Dump(clock.SinceBoot()), Evacuations: g.registry.evacuationDump(),
+		ColdUpstreams: g.registry.cold.dump(),
 	}
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/admission"
+	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 )
 
@@ -78,7 +79,7 @@
 	}
 	usable := d.usable(candidates)
 	if len(usable) == 0 {
-		return selectCandidate(candidates, d.request, d.gateway.settings.DataCenter, d.tried), false, nil
+		return d.selectCandidate(candidates), false, nil
 	}
 	q.mu.Lock()
 	now, key := time.Now(), d.queueKey()
@@ -110,11 +111,11 @@
 // pick selects one of the candidates with room. It returns nil if there is none, or if a
 // full one with the adapter is worth waiting for.
 func (d *dispatcher) pick(usable, withRoom []Candidate) *Candidate {
-	selected := selectCandidate(withRoom, d.request, d.gateway.settings.DataCenter, nil)
+	selected := d.selectCandidate(withRoom)
 	if selected == nil || selected.HasAdapter || len(withRoom) == len(usable) {
 		return selected
 	}
-	if best := selectCandidate(usable, d.request, d.gateway.settings.DataCenter, nil); best.HasAdapter {
+	if best := d.selectCandidate(usable); best != nil && best.HasAdapter {
 		return nil
 	}
 	return selected
@@ -138,7 +139,7 @@
 		d.releaseSlot = nil
 		return held
 	}
-	return d.gateway.slots.track(id, d.request.Model, d.request.Adapter)
+	return d.gateway.slots.track(id, d.request)
 }
 
 func (d *dispatcher) queueKey() admission.QueueKey {
@@ -350,11 +351,11 @@
 // takeSlot counts a request at an upstream at once, so that no other one gets the same
 // slot. It requires q.mu.
 func (q *slotQueue) takeSlot(d *dispatcher, selected *Candidate) (release func()) {
-	return q.track(selected.Upstream.ID, d.request.Model, d.request.Adapter)
+	return q.track(selected.Upstream.ID, d.request)
 }
 
-func (q *slotQueue) track(id, model, adapter string) (release func()) {
-	untrack := q.gateway.registry.TrackRequest(id, model, adapter)
+func (q *slotQueue) track(id string, request *call.Request) (release func()) {
+	untrack := q.gateway.registry.TrackRequest(id, request.Model, request.Adapter, request.PromptTokens+request.OutputTokens)
 	return func() {
 		untrack()
 		if q.hasWaiting() {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -51,22 +52,32 @@
 	// statements are what upstreams have said of themselves; they take precedence over
 	// the table.
 	statements *statement.Tracker
-	now        func() time.Duration // the boot clock, for statements
+	// evacuations are the data centres whose upstreams get nothing more.
+	evacuations evacuations
+	now         func() time.Duration // the boot clock, for statements and evacuations
+	// cold limits the requests to cold upstreams.
+	cold *coldUpstreams
 
-	mu            sync.Mutex
-	entries       map[string]*catalog.Upstream
-	lastStart     map[string]int64     // start of the newest known incarnation, Unix ms, by ID
-	missing       map[string]time.Time // time until which a missing entry is kept, by ID
-	lastOutage    time.Time            // last failed call of an outage in which entries can expire
-	engines       map[string]coordinator.EngineView
-	viewEpoch     int64
-	viewVersion   int64
-	health        map[string]*health
-	running       map[requestKey]int
-	otherHosts    map[string]int // requests of other hosts, by upstream
-	missingModels map[requestKey]time.Time
-	changed       chan struct{}
-	snapshot      []*catalog.Upstream // nil: outdated
+	mu          sync.Mutex
+	entries     map[string]*catalog.Upstream
+	lastStart   map[string]int64     // start of the newest known incarnation, Unix ms, by ID
+	missing     map[string]time.Time // time until which a missing entry is kept, by ID
+	lastOutage  time.Time            // last failed call of an outage in which entries can expire
+	engines     map[string]coordinator.EngineView
+	viewEpoch   int64
+	viewVersion int64
+	health      map[string]*health
+	running     map[requestKey]runningLoad
+	loads       map[string]*upstreamLoad // by upstream
+	othersAt    time.Duration            // when the loads by other hosts were applied, on the boot clock
+	paces       *pace.Tracker
+	// candidateCount is the number of candidates of the last choice, about that of the next.
+	candidateCount int
+	pacesVersion   int64         // of the shared paces
+	pacesAt        time.Duration // when the coordinator confirmed them, on the boot clock
+	missingModels  map[requestKey]time.Time
+	changed        chan struct{}
+	snapshot       []*catalog.Upstream // nil: outdated
 }
 
 // NewRegistry returns an empty registry. It calls onRemove when an incarnation of an
@@ -77,8 +88,10 @@
 		entries: map[string]*catalog.Upstream{}, lastStart: map[string]int64{}, missing: map[string]time.Time{},
 		engines: map[string]coordinator.EngineView{}, health: map[string]*health{},
 		missingModels: map[requestKey]time.Time{},
-		running:       map[requestKey]int{}, otherHosts: map[string]int{}, changed: make(chan struct{}),
+		running:       map[requestKey]runningLoad{}, loads: map[string]*upstreamLoad{}, paces: pace.NewTracker(),
+		changed: make(chan struct{}),
 	}
+	r.cold = newColdUpstreams(func() time.Duration { return r.now() })
 	r.Replica.OnChange = r.Apply
 	r.Replica.Equivalent = r.equivalent
 	return r
@@ -100,9 +113,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := map[string]bool{}
+	first := full && len(r.entries) == 0 && len(r.lastStart) == 0
 	for _, row := range rows {
 		present[row.Key] = true
-		r.applyRow(row, now, full || len(rows) > maxLoggedRows)
+		r.applyRow(row, now, first, full || len(rows) > maxLoggedRows)
 	}
 	if full || len(rows) > maxLoggedRows {
 		r.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(r.entries), "full", full)
@@ -119,6 +133,7 @@
 
 // RemoveExpired removes the missing upstreams whose grace period has passed.
 func (r *Registry) RemoveExpired() {
+	r.cold.expire()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.removeExpiredLocked(time.Now()) {
@@ -146,7 +161,7 @@
 	return entry, err
 }
 
-func (r *Registry) applyRow(row table.Row, now time.Time, skipLog bool) {
+func (r *Registry) applyRow(row table.Row, now time.Time, first, skipLog bool) {
 	if row.Deleted {
 		r.remove(row.Key, now)
 		return
@@ -160,7 +175,9 @@
 		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "born", entry.StartedMS, "error", reason)
 		return
 	}
+	isNew := r.isNewIncarnation(entry)
 	r.recordStart(entry)
+	r.learnEntry(entry, isNew, first, skipLog)
 	delete(r.missing, row.Key)
 	entry.Draining = entry.Draining || r.statements.Leaving(statement.IncarnationOf(entry))
 	known := r.entries[row.Key]
@@ -194,6 +211,16 @@
 	return ""
 }
 
+// isNewIncarnation reports whether an entry is of an incarnation that this host did not know.
+func (r *Registry) isNewIncarnation(entry *catalog.Upstream) bool {
+	known := r.entries[entry.ID]
+	if known != nil {
+		return known.StartedMS != entry.StartedMS || known.Address != entry.Address
+	}
+	start, seen := r.lastStart[entry.ID]
+	return !seen || start != entry.StartedMS
+}
+
 // recordStart keeps the start of the newest incarnation of an upstream, also beyond its
 // removal.
 func (r *Registry) recordStart(entry *catalog.Upstream) {
@@ -229,6 +256,8 @@
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.health, id)
+	r.cold.forget(id)
+	r.paces.Forget(id)
 	r.onRemove(id)
 }
 
@@ -268,12 +297,11 @@
 // ApplyExchange applies the coordinator's view and the request counts of other hosts.
 func (r *Registry) ApplyExchange(reply *coordinator.ExchangeReply) {
 	r.applyLeaving(reply.Leaving)
+	r.applyCold(reply.Cold)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.otherHosts = map[string]int{}
-	for _, running := range reply.Running {
-		r.otherHosts[running.Upstream] += running.Count
-	}
+	r.applyRunning(reply.Running)
+	r.applyPaces(reply)
 	if reply.View == nil {
 		return
 	}
@@ -297,33 +325,6 @@
 	return r.viewEpoch, r.viewVersion
 }
 
-// RunningCounts returns the number of this host's requests at each upstream.
-func (r *Registry) RunningCounts() []coordinator.RunningCount {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	counts := make([]coordinator.RunningCount, 0, len(r.running))
-	for key, count := range r.running {
-		counts = append(counts, coordinator.RunningCount{Upstream: key.upstream, Model: key.model, Adapter: key.adapter, Count: count})
-	}
-	return counts
-}
-
-// TrackRequest counts a request at an upstream until release is called.
-func (r *Registry) TrackRequest(id, model, adapter string) (release func()) {
-	key := requestKey{id, model, adapter}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running[key]++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.running[key]--
-		if r.running[key] == 0 {
-			delete(r.running, key)
-		}
-	}
-}
-
 // RecordAdapter records an adapter that the coordinator has just loaded, also on an
 // engine that its view leaves out because it is as its entry says.
 func (r *Registry) RecordAdapter(id, model, adapter string) {
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -10,13 +10,6 @@
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 )
 
-// otherLoad returns the requests of other hosts at an upstream, as of the last exchange.
-func (r *Registry) otherLoad(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.otherHosts[id]
-}
-
 // newsAge returns the time since the last response of the coordinator.
 func (e *exchanger) newsAge() time.Duration {
 	if at := e.lastResponse.Load(); at != 0 {
@@ -72,7 +65,7 @@
 	p.selected = &selected
 	if selected.HasAdapter {
 		p.release = p.queue.takeSlot(d, &selected)
-		p.addLoad(selected.Upstream.ID)
+		p.addLoad(selected.Upstream.ID, d.request.PromptTokens+d.request.OutputTokens)
 	}
 	return true
 }
@@ -89,11 +82,13 @@
 	return candidates
 }
 
-func (p *slotPass) addLoad(id string) {
+func (p *slotPass) addLoad(id string, tokens int) {
 	for _, candidates := range p.candidates {
 		for i := range candidates {
 			if candidates[i].Upstream.ID == id {
 				candidates[i].Load++
+				candidates[i].Own++
+				candidates[i].Tokens += tokens
 			}
 		}
 	}
@@ -117,13 +112,12 @@
 // the coordinator the counts of other hosts say nothing any more: the upstream itself refuses
 // what is too much. It requires q.mu.
 func (q *slotQueue) occupancy(c *Candidate, key admission.QueueKey) admission.Occupancy {
-	others := q.gateway.registry.otherLoad(c.Upstream.ID)
-	own := c.Load - others
+	others := c.Load - c.Own
 	if !q.gateway.exchanger.Reached() {
 		others = 0
 	}
 	return admission.Occupancy{
-		Slots: c.Upstream.Slots, Own: own, Others: others,
+		Slots: c.Upstream.Slots, Own: c.Own, Others: others,
 		ServiceTime: q.backlog.ServiceTime(key), NewsInterval: q.newsInterval(),
 	}
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -45,7 +45,13 @@
 		if candidate != nil {
 			return candidate, nil
 		}
-		waited, refused := d.waitForPaused("")
+		if refused := d.refuseEvacuated(); refused != nil {
+			return nil, refused
+		}
+		waited, refused := d.waitForCold("")
+		if !waited && refused == nil {
+			waited, refused = d.waitForPaused("")
+		}
 		if refused != nil {
 			return nil, refused
 		}
@@ -93,7 +99,13 @@
 			continue
 		}
 		if len(candidates) == 0 {
-			waited, refused := d.waitForPaused(d.request.Model)
+			if refused := d.refuseEvacuated(); refused != nil {
+				return nil, refused
+			}
+			waited, refused := d.waitForCold(d.request.Model)
+			if !waited && refused == nil {
+				waited, refused = d.waitForPaused(d.request.Model)
+			}
 			if refused != nil {
 				return nil, refused
 			}
