Queue for slots: candidates looked up under its lock; intervals as measured

Cause: candidates were looked up before the lock of the queue was taken, so two requests could see the same free slot (TestSlotsAreTakenOnce: 3 requests in 2 slots, once in several runs). The credit assumed frequent exchanges, which a host that refuses at once did not make.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,7 +112,7 @@
 }
 
 func (e *exchanger) waitForNext(ctx context.Context, started time.Time) {
-	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting() || e.slots.hasWaiting())
+	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting() || e.slots.contended())
 	timer := time.NewTimer(period - min(period, time.Since(started)))
 	defer timer.Stop()
 	select {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -23,6 +23,8 @@
 	maxFullTime = 250 * time.Millisecond
 	// minSlotRetryAfter is the shortest Retry-After of a request that got no slot.
 	minSlotRetryAfter = 100 * time.Millisecond
+	// contendedTime is how long after a request that found no slot the exchanges stay frequent.
+	contendedTime = time.Second
 	// patientRatio is the ratio of a route's objective to the shortest one of its service
 	// from which its requests yield to others while they have slack.
 	patientRatio = 2
@@ -36,8 +38,9 @@
 // knows, and passes them on in order as slots come free. It is safe for concurrent use.
 // Its lock is taken before that of the registry.
 type slotQueue struct {
-	gateway *Gateway
-	count   atomic.Int64 // waiting requests
+	gateway  *Gateway
+	count    atomic.Int64 // waiting requests
+	lastFull atomic.Int64 // when a request last found no slot, Unix ns
 
 	mu      sync.Mutex
 	backlog *admission.Backlog
@@ -45,6 +48,8 @@
 	full    map[string]time.Time // until when an upstream counts as full, by ID
 	timer   *time.Timer
 	armed   bool
+	newsAt  time.Time     // of the last news
+	newsGap time.Duration // mean time between two news; 0: unknown
 	news    map[admission.QueueKey]queueNews
 }
 
@@ -69,20 +74,38 @@
 // hasWaiting reports whether any request waits for a slot.
 func (q *slotQueue) hasWaiting() bool { return q != nil && q.count.Load() > 0 }
 
-// selectSlot selects one of the candidates and takes a slot of it, waiting for one if
-// necessary. again reports that the candidates have changed. It returns neither a candidate
-// nor a refusal if none of the candidates is usable.
-func (d *dispatcher) selectSlot(candidates []Candidate) (selected *Candidate, again bool, refused *refusal) {
+// contended reports whether requests wait for a slot or found none lately, so that news of
+// other hosts are needed often.
+func (q *slotQueue) contended() bool {
+	return q != nil && (q.count.Load() > 0 || time.Since(time.Unix(0, q.lastFull.Load())) < contendedTime)
+}
+
+// slotChoice is the outcome of a choice of an upstream.
+type slotChoice struct {
+	candidates []Candidate
+	// selected holds a slot, or lacks the adapter; nil: none of the candidates is usable.
+	selected *Candidate
+	again    bool // the candidates have changed
+}
+
+// selectSlot selects an upstream and takes a slot of it, waiting for one if necessary.
+func (d *dispatcher) selectSlot(adapter string) (slotChoice, *refusal) {
 	q := d.gateway.slots
+	key := d.queueKey()
+	q.mu.Lock()
+	// The candidates are looked up under the lock of the queue: two requests would else see
+	// the same free slot.
+	choice := slotChoice{candidates: d.gateway.registry.Candidates(key.Service, key.Model, adapter)}
 	if len(d.tried) > 0 && d.runs == 0 {
-		q.forgetRefusals(candidates, d.tried)
+		q.forgetRefusals(choice.candidates, d.tried)
 	}
-	usable := d.usable(candidates)
+	usable := d.usable(choice.candidates)
 	if len(usable) == 0 {
-		return d.selectCandidate(candidates), false, nil
+		q.mu.Unlock()
+		choice.selected = d.selectCandidate(choice.candidates)
+		return choice, nil
 	}
-	q.mu.Lock()
-	now, key := time.Now(), d.queueKey()
+	now := time.Now()
 	if q.backlog.Waiting(key) == 0 && q.backlog.MaySend(now, key) {
 		if selected := d.pick(usable, q.withRoom(usable, d, nil, now)); selected != nil {
 			if selected.HasAdapter {
@@ -90,12 +113,15 @@
 			}
 			q.backlog.RecordServed(now, d.slotRequest())
 			q.mu.Unlock()
-			return selected, false, nil
+			choice.selected = selected
+			return choice, nil
 		}
 	}
 	w := q.submit(d, usable)
 	q.mu.Unlock()
-	return d.awaitSlot(w)
+	var refused *refusal
+	choice.selected, choice.again, refused = d.awaitSlot(w)
+	return choice, refused
 }
 
 // usable returns the candidates that may serve the request now. Engines whose connection
@@ -142,8 +168,14 @@
 	return d.gateway.slots.track(id, d.request)
 }
 
+// queueKey returns the queue of the request. Plain services have no models, whatever the
+// request names.
 func (d *dispatcher) queueKey() admission.QueueKey {
-	return admission.QueueKey{Service: d.service.Name, Model: d.modelKey.Model}
+	key := admission.QueueKey{Service: d.service.Name}
+	if d.isEngine() {
+		key.Model = d.request.Model
+	}
+	return key
 }
 
 // slotRequest returns the request as the backlog sees it.
@@ -189,6 +221,7 @@
 // submit adds a request to the queue. It requires q.mu.
 func (q *slotQueue) submit(d *dispatcher, usable []Candidate) *slotWaiter {
 	now := time.Now()
+	q.lastFull.Store(now.UnixNano())
 	q.forgetNews()
 	r := d.slotRequest()
 	q.backlog.SetSupply(r.Queue, q.supply(r.Queue, usable))
@@ -396,10 +429,8 @@
 }
 
 // forgetRefusals lets a request go again to the upstreams that refused it for lack of room,
-// if it has tried all of them.
+// if it has tried all of them. It requires q.mu.
 func (q *slotQueue) forgetRefusals(candidates []Candidate, tried map[string]bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	for i := range candidates {
 		id := candidates[i].Upstream.ID
 		if _, refused := q.full[id]; !tried[id] || !refused {
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -251,3 +251,20 @@
 		t.Errorf("%+v %v, want a again", candidate, refused)
 	}
 }
+
+// Guards against an engine priority that leaves patient requests behind all others when their
+// time is nearly up, or that puts them before urgent ones while it is not.
+func TestEnginePriorityFollowsSlack(t *testing.T) {
+	f := newQueueFixture("a")
+	for _, c := range []struct {
+		route   string
+		waited  time.Duration
+		urgency int
+	}{{"urgent", 0, 0}, {"patient", 0, 2}, {"patient", 2 * time.Second, 2}, {"patient", 2700 * time.Millisecond, 0}} {
+		d := f.dispatcher(context.Background(), c.route)
+		d.startedAt = d.startedAt.Add(-c.waited)
+		if got := d.urgency(); got != c.urgency {
+			t.Errorf("%s after %v: urgency %d, want %d", c.route, c.waited, got, c.urgency)
+		}
+	}
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -10,6 +10,9 @@
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 )
 
+// newsGapDivisor is the inverse weight of a new interval in the mean time between two news.
+const newsGapDivisor = 4
+
 // newsAge returns the time since the last response of the coordinator.
 func (e *exchanger) newsAge() time.Duration {
 	if at := e.lastResponse.Load(); at != 0 {
@@ -24,6 +27,14 @@
 	adapter string
 }
 
+func candidatesKeyOf(d *dispatcher) candidatesKey {
+	key := candidatesKey{QueueKey: d.queueKey()}
+	if d.isEngine() {
+		key.adapter = d.request.Adapter
+	}
+	return key
+}
+
 // closedKey identifies requests for which the same upstreams have room.
 type closedKey struct {
 	candidatesKey
@@ -44,7 +55,7 @@
 // fits reports whether an upstream has room for a waiting request, and takes its slot.
 func (p *slotPass) fits(entry *admission.Entry) bool {
 	d := p.queue.waiters[entry].dispatcher
-	key := closedKey{candidatesKey{entry.Request.Queue, d.request.Adapter}, p.queue.backlog.Yields(p.now, &entry.Request)}
+	key := closedKey{candidatesKeyOf(d), p.queue.backlog.Yields(p.now, &entry.Request)}
 	if p.closed[key] {
 		return false
 	}
@@ -72,7 +83,7 @@
 
 // candidatesOf returns the candidates of a request. It looks them up once in a pass.
 func (p *slotPass) candidatesOf(d *dispatcher) []Candidate {
-	key := candidatesKey{d.queueKey(), d.request.Adapter}
+	key := candidatesKeyOf(d)
 	candidates, ok := p.candidates[key]
 	if !ok {
 		candidates = p.queue.gateway.registry.Candidates(key.Service, key.Model, key.adapter)
@@ -122,10 +133,24 @@
 	}
 }
 
+// newsInterval returns the time between two news. It requires q.mu.
 func (q *slotQueue) newsInterval() time.Duration {
+	if q.newsGap > 0 {
+		return q.newsGap
+	}
 	return exchangeIntervalFor(int(q.gateway.exchanger.hostCount.Load()), true)
 }
 
+// recordNews measures the time between two news. It requires q.mu.
+func (q *slotQueue) recordNews(now time.Time) {
+	gap := min(now.Sub(q.newsAt), reachedTimeout) // a longer one is an interruption
+	if q.newsGap == 0 {
+		q.newsGap = gap
+	}
+	q.newsGap += (gap - q.newsGap) / newsGapDivisor
+	q.newsAt = now
+}
+
 // withRoom returns the candidates that have room for a request. It requires q.mu.
 func (q *slotQueue) withRoom(candidates []Candidate, d *dispatcher, r *admission.SlotRequest, now time.Time) []Candidate {
 	full := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Load >= c.Upstream.Slots && c.Upstream.Slots > 0 })
@@ -191,6 +216,7 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.recordNews(now)
 	known := q.news
 	q.news = map[admission.QueueKey]queueNews{}
 	for _, queued := range reply.Queued {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -29,14 +29,14 @@
 		return d.selectEngine()
 	}
 	for {
-		candidates := d.gateway.registry.Candidates(d.service.Name, "", "")
-		candidate, again, refused := d.selectSlot(candidates)
+		choice, refused := d.selectSlot("")
 		if refused != nil {
 			return nil, refused
 		}
-		if again {
+		if choice.again {
 			continue
 		}
+		candidates, candidate := choice.candidates, choice.selected
 		if candidate == nil && len(candidates) > 0 && d.runs == 0 {
 			clock.Sleep(d.ctx, notRunRetryDelay)
 			clear(d.tried)
@@ -90,14 +90,14 @@
 	var adapter adapterWait
 	for {
 		changed := d.gateway.registry.Changed()
-		candidates := d.gateway.registry.Candidates(d.service.Name, d.request.Model, d.request.Adapter)
-		candidate, again, refused := d.selectSlot(candidates)
+		choice, refused := d.selectSlot(d.request.Adapter)
 		if refused != nil {
 			return nil, refused
 		}
-		if again {
+		if choice.again {
 			continue
 		}
+		candidates, candidate := choice.candidates, choice.selected
 		if len(candidates) == 0 {
 			if refused := d.refuseEvacuated(); refused != nil {
 				return nil, refused
