--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -418,8 +418,10 @@
 
 // yields reports whether a patient request lets others go first.
 func (b *Backlog) yields(now time.Time, r *SlotRequest, due time.Time) bool {
-	left := max(seconds(raiseShare*r.Objective.Seconds()), 2*b.interval(now, r.Queue))
-	return r.Patient && !r.Committed && due.Sub(now) > left
+	if !r.Patient || r.Committed {
+		return false
+	}
+	return due.Sub(now) > max(seconds(raiseShare*r.Objective.Seconds()), 2*b.interval(now, r.Queue))
 }
 
 // Yields reports whether a request lets others go first at a time: it is patient and has
