--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -146,7 +146,7 @@
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
 	defer d.trackSend(id)()
-	d.candidate, d.run = candidate, nil
+	d.candidate, d.run, d.record.choice = candidate, nil, candidate
 	defer func() { d.gateway.registry.EndRun(d.run, false) }()
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -394,6 +395,7 @@
 	requireShare(t, "remote, less loaded", selection{}, with(func(c *Candidate) { c.Upstream.DataCenter = "other" }, 0, 1), 1, 1)
 	requireShare(t, "failing", selection{}, with(func(c *Candidate) { c.FailureRate = 0.2 }, 0, 5), 0, 0)
 	requireShare(t, "backoff", selection{}, with(func(c *Candidate) { c.InBackoff = true }, 0, 40), 0, 0)
+	requireShare(t, "cold", selection{}, with(func(c *Candidate) { c.ColdFor = time.Second }, 0, 2), 0, 0)
 	requireShare(t, "adapter", selection{}, with(func(c *Candidate) { c.HasAdapter = false }, 0, 7), 0, 0)
 	requireShare(t, "adapter, far less loaded", selection{}, with(func(c *Candidate) { c.HasAdapter = false }, 0, 9), 1, 1)
 	requireShare(t, "tried", selection{tried: map[string]bool{"u0": true}}, with(none, 0, 9), 0, 0)
@@ -410,8 +412,8 @@
 		t.Errorf("%d tokens saved", tokens)
 	}
 	candidates[0], candidates[owner] = candidates[owner], candidates[0]
-	for load, share := range map[int]float64{0: 1, 2: 1, 3: 0, 12: 0} {
-		candidates[0].Load = load // 100 ms are saved; a request adds 0.25 * 2 s / 12 = 42 ms
+	for load, share := range map[int]float64{0: 1, 1: 1, 2: 0, 12: 0} {
+		candidates[0].Load = load // 100 ms are saved; a request adds 0.5 * 2 s / 12 = 83 ms
 		requireShare(t, fmt.Sprint("load ", load), selection{request: request}, candidates, share, share)
 	}
 }
@@ -466,5 +468,12 @@
 	for i := range 15 {
 		r.TrackRequest(rows[i].Key, "m1", "", 1630)
 	}
+	reply := coordinator.ExchangeReply{PaceVersion: 1, PacesFull: true}
+	for i := range engines {
+		of := coordinator.Incarnation{Upstream: rows[i].Key, StartedMS: 1}
+		reply.Running = append(reply.Running, coordinator.RunningCount{Upstream: rows[i].Key, Count: i % 12, Tokens: 1630 * (i % 12)})
+		reply.Paces = append(reply.Paces, coordinator.SharedPace{Incarnation: of, Ratio: 1 + float64(i%10)/10, Weight: 4})
+	}
+	r.ApplyExchange(&reply)
 	return r, &call.Request{Model: "m1", PromptTokens: 1460, PromptSegments: []call.PromptSegment{{ID: "s", Tokens: 1000}, {ID: "own", Tokens: 460}}}
 }
