--- a/internal/gateway/access_record.go
+++ b/internal/gateway/access_record.go
@@ -24,6 +24,7 @@
 	firstEvent time.Duration // time to the first event; 0: none
 	grantWait  time.Duration // time that the request waited for its workspace's allowance
 	modelWait  time.Duration // time that it waited for its model
+	slotWait   time.Duration // time that it waited for a slot of an upstream
 	// adapterWait is the time that it waited for its adapter.
 	adapterWait time.Duration
 	// adapterCalls counts the calls to load the request's adapter.
@@ -65,6 +66,9 @@
 	if in.record.modelWait > 0 {
 		fields = append(fields, "model_wait_ms", in.record.modelWait.Milliseconds())
 	}
+	if in.record.slotWait > 0 {
+		fields = append(fields, "slot_wait_ms", in.record.slotWait.Milliseconds())
+	}
 	fields = append(fields, in.departure.report(now, g.metrics)...)
 	_, view := g.registry.ViewVersion()
 	g.log.Info("Request ended.", append(fields, "view", view)...)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -240,6 +240,7 @@
 	q := d.gateway.slots
 	d.departure.enter(stageSlot)
 	entry := d.entry
+	defer func() { d.record.slotWait += time.Since(entry.SubmittedAt()) }()
 	select {
 	case <-w.ready:
 	case <-d.ctx.Done():
