--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -38,7 +38,7 @@
 // are left out, too.
 func (r *Registry) Candidates(service, model, adapter string) []Candidate {
 	now, sinceBoot, paused := time.Now(), r.now(), r.pauses()
-	leaving := r.evacuations.at(r.now)
+	leaving, cold := r.evacuations.at(r.now), r.cold.states()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	situation := &Situation{Usual: r.paces.Times(service), OthersAge: r.othersAge(sinceBoot)}
@@ -53,13 +53,12 @@
 		if paused.of(entry) > 0 {
 			continue
 		}
-		coldFor, blocked := r.cold.state(id)
-		if blocked {
+		if cold[id].Blocked {
 			r.cold.want(id)
 			continue
 		}
 		candidate := Candidate{
-			Upstream: entry, ColdFor: coldFor, Pace: r.paces.Factor(sinceBoot, paceIncarnation(entry)),
+			Upstream: entry, ColdFor: cold[id].ColdFor, Pace: r.paces.Factor(sinceBoot, paceIncarnation(entry)),
 			Situation:  situation,
 			HasAdapter: adapter == "" || (slices.Contains(adapters, adapter) && !r.isMissing(id, model, adapter, now)),
 		}
