--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -212,7 +212,7 @@
 	if in.keys.request == 0 {
 		in.keys = newQuarantineKeys(in)
 	}
-	var a admission
+	var a trialAdmission
 	a, in.trial = exchanger.quarantine.admit(in.keys, exchanger.Reached(), in.trial)
 	if len(a.wanted) > 0 {
 		a = in.waitForTrial(a)
--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -53,24 +53,24 @@
 	uncertain bool
 }
 
-// admission is the decision on a request.
-type admission struct {
+// trialAdmission is the decision on a request.
+type trialAdmission struct {
 	key       quarantine.Key // for which the request is refused
 	remaining time.Duration  // until it may come back; 0: it is not refused
 	wanted    []quarantine.Key
 	open      map[quarantine.Key]*hostTrial // trials that the request may use
 }
 
-func (a *admission) refuse(key quarantine.Key, remaining time.Duration) {
+func (a *trialAdmission) refuse(key quarantine.Key, remaining time.Duration) {
 	if remaining > a.remaining {
 		a.key, a.remaining = key, remaining
 	}
 }
 
 // check decides on a request; of is its part in trials, nil if it has none. It requires q.mu.
-func (q *requestQuarantine) check(keys quarantineKeys, coordinated bool, of *requestTrial) admission {
+func (q *requestQuarantine) check(keys quarantineKeys, coordinated bool, of *requestTrial) trialAdmission {
 	now := q.now()
-	var a admission
+	var a trialAdmission
 	for _, key := range keys.all() {
 		d := q.decided[key]
 		if d == nil || q.isTrying(now, key, of) {
@@ -106,7 +106,7 @@
 }
 
 // checkTrial lets a request use the trial of a key, or refuses it.
-func (q *requestQuarantine) checkTrial(now time.Duration, key quarantine.Key, a *admission) {
+func (q *requestQuarantine) checkTrial(now time.Duration, key quarantine.Key, a *trialAdmission) {
 	if t := q.trials[key]; t != nil && t.isOpen(now) {
 		if a.open == nil {
 			a.open = map[quarantine.Key]*hostTrial{}
@@ -121,7 +121,7 @@
 // checkOwn decides by the lost runs of this host. Nothing is tried after the end of a
 // quarantine that only this host has decided: it does not know the others' quarantines.
 // A request that tells segments apart may run.
-func (q *requestQuarantine) checkOwn(now time.Duration, keys quarantineKeys, of *requestTrial, a *admission) {
+func (q *requestQuarantine) checkOwn(now time.Duration, keys quarantineKeys, of *requestTrial, a *trialAdmission) {
 	trials := map[quarantine.Key]quarantine.Trial{}
 	for _, trial := range q.own.Trials(now, now) {
 		trials[trial.Key] = trial
@@ -163,7 +163,7 @@
 }
 
 // admit decides on a request, and lets it use the trials that it needs.
-func (q *requestQuarantine) admit(keys quarantineKeys, coordinated bool, of *requestTrial) (a admission, trial *requestTrial) {
+func (q *requestQuarantine) admit(keys quarantineKeys, coordinated bool, of *requestTrial) (a trialAdmission, trial *requestTrial) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a = q.check(keys, coordinated, of)
@@ -323,7 +323,7 @@
 
 // waitForTrial waits for the coordinator to name this host for the trial of a request, and
 // decides anew.
-func (in *inbound) waitForTrial(a admission) admission {
+func (in *inbound) waitForTrial(a trialAdmission) trialAdmission {
 	e := in.gateway.exchanger
 	if !e.Reached() || !e.quarantine.beginWait(a.wanted) {
 		return a
