--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,6 +61,7 @@
 	poolExchanger *poolExchanger
 	retryBudget   *RetryBudget
 	quarantine    *requestQuarantine
+	slots         *slotQueue
 
 	replicas     map[string]*table.Replica // by table name
 	wake         chan struct{}
@@ -111,7 +112,7 @@
 }
 
 func (e *exchanger) waitForNext(ctx context.Context, started time.Time) {
-	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting())
+	period := exchangeIntervalFor(int(e.hostCount.Load()), e.demand.hasWaiting() || e.slots.contended())
 	timer := time.NewTimer(period - min(period, time.Since(started)))
 	defer timer.Stop()
 	select {
@@ -158,6 +159,7 @@
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
 	e.registry.cold.applyReply(reply, requestedAt)
+	e.slots.applyNews(reply)
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
 	}
@@ -213,6 +215,7 @@
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 		Paces: paces, PaceVersion: paceVersion,
 	}
+	e.slots.report(request)
 	for name, replica := range e.replicas {
 		request.Tables[name] = replica.Revision()
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -75,6 +75,9 @@
 // only if that end was not a crash of the upstream, which shows later.
 func (d *dispatcher) recordSuccess(id string, response *upstream.Response) {
 	d.gateway.registry.RecordOutcome(id, OutcomeSuccess)
+	if response.Status < http.StatusMultipleChoices {
+		d.gateway.slots.recordRun(d)
+	}
 	d.gateway.registry.EndRun(d.run, response.Status < http.StatusMultipleChoices)
 	switch {
 	case response.Status >= http.StatusMultipleChoices:
@@ -180,6 +183,7 @@
 	switch {
 	case d.outputAt.IsZero():
 		d.outputAt = now
+		d.gateway.slots.recordFirstEvent(d)
 		d.stopWatch()
 	case !d.survived && now.Sub(d.outputAt) >= answeredAfter:
 		d.survived = true
