--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -75,6 +75,7 @@
 	fleet         map[string]*engineState // by upstream ID
 	views         viewLog
 	crashReports  *crashReports
+	queues        *queueTracker
 	paces         *pace.Collector
 	activeReports int            // report reads in progress
 	notableLoads  []RunningCount // upstreams with notable load, counted over all hosts
@@ -113,6 +114,7 @@
 	c.fleet = map[string]*engineState{}
 	c.views = newViewLog()
 	c.crashReports = newCrashReports(c.log)
+	c.queues = newQueueTracker()
 	c.paces = pace.NewCollector()
 	c.estimates = nil
 	c.poolHosts = nil
@@ -138,12 +140,15 @@
 	defer c.mu.Unlock()
 	if request.Departed {
 		c.ledger.Remove(request.Host)
+		c.queues.remove(request.Host)
 		c.coldDivider.Depart(request.Host)
 		return &ExchangeReply{Holder: true, Epoch: epoch}
 	}
 	c.ledger.Observe(now, request.Host)
 	c.demand.record(now, request)
 	c.crashReports.record(now, request)
+	c.queues.record(now, request)
+	c.queues.expire(now)
 	c.recordPaces(now, request)
 	for _, id := range request.SuspectedUpstreams {
 		if engine := c.fleet[id]; engine != nil && !engine.occupied && now >= engine.nextRecheck {
@@ -162,6 +167,7 @@
 	reply.Estimates = c.estimatesFor(request)
 	c.crashReports.reply(now, reply)
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
+	c.queues.reply(now, c.demand.rates, request.Host, reply)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
 	reply.Leaving = c.leaving
 	c.replyCold(now, config, request, reply)
--- a/internal/coordinator/plan_test.go
+++ b/internal/coordinator/plan_test.go
@@ -258,7 +258,7 @@
 // loads from the weight store, and that then gets one replica at a time (a model with 20
 // requests per second had one or two replicas for 30 s).
 func TestCrowdedModelGetsReplicasAtOnce(t *testing.T) {
-	engines := []*Engine{testEngine("e0", "m0"), testEngine("p1"), testEngine("p2")}
+	engines := []*Engine{testEngine("e0", "m0"), testEngine("p1"), testEngine("p2"), testEngine("p3")}
 	for _, engine := range engines[1:] {
 		engine.Loading, engine.LoadingFromStore, engine.Occupied = "m9", true, true
 	}
@@ -271,14 +271,14 @@
 	loads := 0
 	for _, action := range Plan(input) {
 		if action.Load != "m0" {
-			t.Errorf("load of %s beside two loads from the store", action.Load)
+			t.Errorf("load of %s beside three loads from the store", action.Load)
 		}
 		loads++
 	}
 	if loads != 1 {
 		t.Errorf("%d loads of m0 in one plan, want 1", loads)
 	}
-	engines[3].Loading, engines[3].LoadingFromStore, engines[3].Occupied = "m0", true, true
+	engines[3].Loading = "m0"
 	if actions := Plan(input); len(actions) != 1 || actions[0].Load != "m0" {
 		t.Errorf("actions %+v, want another replica of m0 while one is being loaded", actions)
 	}
@@ -352,3 +352,23 @@
 		t.Errorf("actions %+v, want a load of m3", actions)
 	}
 }
+
+// BenchmarkPlan plans for 140 engines and 456 models, of which 60 have waiting requests.
+func BenchmarkPlan(b *testing.B) {
+	service := testService(456)
+	input := testInput(service)
+	for i := range 140 {
+		engine := testEngine(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", i+140))
+		for j := range 10 {
+			engine.Holdings.OnDisk = append(engine.Holdings.OnDisk, fmt.Sprintf("m%d", (i*7+j*31)%456))
+		}
+		input.Engines = append(input.Engines, engine)
+	}
+	for i := range 300 {
+		input.Demand[fmt.Sprintf("m%d", i)] = &Demand{Rate: 0.3, SteadyRate: 0.2, Waiting: i % 5 / 4}
+	}
+	input.Prefetch = true
+	for b.Loop() {
+		Plan(input)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/drain"
+	"github.com/arbutusbank/arbutusbank/internal/intake"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 	"github.com/arbutusbank/arbutusbank/internal/upstream"
@@ -76,10 +77,11 @@
 	config      *configuration
 	registry    *Registry
 	connections *upstream.Pool
-	buffers     *bufferBudget
+	intake      *intake.Guard
 	elector     *lease.Elector
 	coordinator *coordinator.Coordinator
 	exchanger   *exchanger
+	slots       *slotQueue
 	metrics     *metrics
 	inFlight    atomic.Int64
 	draining    atomic.Bool
@@ -104,9 +106,10 @@
 	s := options.Settings
 	g := &Gateway{
 		settings: s, options: options, log: options.Log, protocol: options.Protocol, connections: upstream.NewPool(),
-		buffers: newBufferBudget(s.MemoryMB), shutdown: newShutdown(),
-		config: &configuration{decode: options.DecodeConfig, log: options.Log},
+		shutdown: newShutdown(),
+		config:   &configuration{decode: options.DecodeConfig, log: options.Log},
 	}
+	g.intake = newIntake(g)
 	g.config.replica.OnChange = g.config.apply
 	g.uncertainEnds = newUncertainEnds()
 	g.random = rand.New(globalSource{})
@@ -146,6 +149,8 @@
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
 	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.slots = newSlotQueue(g)
+	g.exchanger.slots = g.slots
 	g.exchanger.quarantine.host = s.Host
 	g.metrics = newMetrics(g)
 	return g
--- a/internal/gateway/route_query.go
+++ b/internal/gateway/route_query.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// excludeOthers excludes the candidates that are not among those left.
+func (q *routeQuery) excludeOthers(candidates, left []Candidate, reason string) {
+	if q == nil {
+		return
+	}
+	for i := range candidates {
+		entry := candidates[i].Upstream
+		if !slices.ContainsFunc(left, func(c Candidate) bool { return c.Upstream.ID == entry.ID }) {
+			q.exclude(entry, reason)
+		}
+	}
+}
+
 // observe records the expected times of candidates.
 func (q *routeQuery) observe(s selection, candidates []Candidate) {
 	if q == nil || len(candidates) == 0 {
