Slow start: windows for upstreams that started or recovered

Cause: an upstream that has just started or recovered looks idle to all hosts and gets their requests at once, before any of them has measured its pace.

Change: internal/slowstart keeps a window of concurrent requests over all hosts per incarnation, divided among them by a rendezvous order. It opens by answers in time and, while the shared pace is usual, by time; it closes on slow answers, refusals, failures and lost runs, and ends after 30 s at the latest. The window shapes the choice of upstream and refuses nothing. It shows in the metrics gateway_slow_start* and in /state.

Recovery after a slow start is slower than without a window with many hosts.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -21,6 +21,10 @@
 	// get a request now.
 	ColdFor time.Duration
 	Pace    float64 // its times relative to the usual ones of its service
+	// Limited reports that the upstream has started or recovered and its window of concurrent
+	// requests limits it. Room is what the window leaves to this host, negative if exceeded.
+	Limited bool
+	Room    float64
 	*Situation
 }
 
@@ -69,6 +73,7 @@
 		if h := r.health[id]; h != nil {
 			candidate.InBackoff, candidate.FailureRate = now.Before(h.backoffUntil), h.failureRate
 		}
+		r.limitSlowStart(sinceBoot, &candidate)
 		candidates = append(candidates, candidate)
 	}
 	r.candidateCount = len(candidates)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -325,6 +325,8 @@
 	d.tried[id] = true
 	if d.gateway.protocol.Misdirected(response.Status) {
 		d.returnCold()
+	} else {
+		d.gateway.registry.RecordRefused(d.upstream)
 	}
 	if d.gateway.protocol.Misdirected(response.Status) && d.isEngine() {
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	g.config.replica.OnChange = g.config.apply
 	g.uncertainEnds = newUncertainEnds()
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
+	g.registry.slow = newSlowStart(s.Host)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
 		g.config.onRows = func(rows []table.Row, full bool) {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -24,6 +24,7 @@
 	backoffUntil time.Time
 	backoff      time.Duration
 	failureRate  float64 // moving average of failed requests, 0 to 1
+	failures     int     // failed answers since the last success
 	// unreachable reports that the last connection attempt failed.
 	unreachable bool
 }
@@ -50,6 +51,7 @@
 		h.backoff = min(max(2*h.backoff, minBackoff), maxBackoff)
 		h.backoffUntil = time.Now().Add(h.backoff)
 	}
+	r.noteFailure(id, h, outcome)
 }
 
 // Outcome is how a request at an upstream ended.
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
+	"github.com/arbutusbank/arbutusbank/internal/slowstart"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 )
 
@@ -70,6 +71,8 @@
 	ColdUpstreams []coldstart.Dump `json:"cold_upstreams"`
 	// Paces are the upstreams that answer notably faster or slower than usual.
 	Paces []pace.Dump `json:"paces"`
+	// SlowStarts are the windows of upstreams that started or recovered.
+	SlowStarts []slowstart.Dump `json:"slow_starts"`
 }
 
 // State returns the state dump.
@@ -81,6 +84,6 @@
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
 		Statements: g.registry.statements.Dump(clock.SinceBoot()), Evacuations: g.registry.evacuationDump(),
-		ColdUpstreams: g.registry.cold.dump(), Paces: g.registry.paceDump(),
+		ColdUpstreams: g.registry.cold.dump(), Paces: g.registry.paceDump(), SlowStarts: g.registry.slowStartDump(),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/arbutusbank/arbutusbank/internal/confine"
+	"github.com/arbutusbank/arbutusbank/internal/slowstart"
 )
 
 type metrics struct {
@@ -78,9 +79,20 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
+	counter := func(name, help string, labels prometheus.Labels, value func() float64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, value)
+	}
+	slowStarts := func(reason slowstart.Reason) prometheus.Collector {
+		return counter("gateway_slow_starts_total", "Windows that began, by reason.", prometheus.Labels{"reason": string(reason)}, func() float64 {
+			return g.registry.slowStartCount(func(t *slowstart.Tracker) int { return t.Begun(reason) })
+		})
+	}
 	m.registry.MustRegister(m.requests, m.latency, m.callersLeft, m.afterCallerLeft, m.adapterCalls, m.stalls, m.statements, m.sendsWithheld, m.foreignResponses, m.lostRuns,
 		m.evacuationRefusals, m.coldRefusals, m.coldWithheld,
 		gauge("gateway_cold_upstreams", "Upstreams to which this host limits its requests because they are, or were just, cold.", func() float64 { return float64(len(g.registry.cold.dump())) }),
+		gauge("gateway_slow_starts", "Upstreams that started or recovered, whose window limits the concurrent requests of this host.", func() float64 { return g.registry.slowStartCount((*slowstart.Tracker).Len) }),
+		slowStarts(slowstart.Started), slowStarts(slowstart.Recovered),
+		counter("gateway_slow_start_closes_total", "Times that such a window was closed because of slow answers, refusals or lost runs.", nil, func() float64 { return g.registry.slowStartCount((*slowstart.Tracker).Closes) }),
 		gauge("gateway_evacuated_data_centers", "Data centers whose evacuation is requested.", func() float64 { return float64(len(g.registry.evacuations.load())) }),
 		gauge("gateway_evacuated_requests", "Requests of this host that are in progress at upstreams of evacuated data centers.", g.registry.evacuatedRunning),
 		gauge("gateway_quarantined", "Requests and prompt segments that are refused because they crash upstreams.", g.exchanger.quarantine.count),
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -75,6 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.paces.Overdue(now)
+	r.sweepSlowStart(now)
 	for _, s := range r.paces.TakeSamples(now) {
 		samples = append(samples, coordinator.PaceSample{
 			Incarnation: coordinator.Incarnation{Upstream: s.ID, StartedMS: s.StartedMS}, Ratio: s.Ratio, Weight: s.Weight,
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
+	"github.com/arbutusbank/arbutusbank/internal/slowstart"
 	"github.com/arbutusbank/arbutusbank/internal/statement"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
@@ -71,6 +72,8 @@
 	loads       map[string]*upstreamLoad // by upstream
 	othersAt    time.Duration            // when the loads by other hosts were applied, on the boot clock
 	paces       *pace.Tracker
+	slow        *slowstart.Tracker // windows of upstreams that started or recovered
+	settledAt   time.Duration      // from when new entries are upstreams that started, on the boot clock; 0: no entry yet
 	// candidateCount is the number of candidates of the last choice, about that of the next.
 	candidateCount int
 	pacesVersion   int64         // of the shared paces
@@ -91,6 +94,7 @@
 		running:       map[requestKey]runningLoad{}, loads: map[string]*upstreamLoad{}, paces: pace.NewTracker(),
 		changed: make(chan struct{}),
 	}
+	r.slow, r.paces.OnSample = newSlowStart(""), r.paceSample
 	r.cold = newColdUpstreams(func() time.Duration { return r.now() })
 	r.Replica.OnChange = r.Apply
 	r.Replica.Equivalent = r.equivalent
@@ -178,6 +182,7 @@
 	isNew := r.isNewIncarnation(entry)
 	r.recordStart(entry)
 	r.learnEntry(entry, isNew, first, skipLog)
+	r.noteStarted(entry, isNew)
 	delete(r.missing, row.Key)
 	entry.Draining = entry.Draining || r.statements.Leaving(statement.IncarnationOf(entry))
 	known := r.entries[row.Key]
@@ -258,6 +263,7 @@
 	delete(r.health, id)
 	r.cold.forget(id)
 	r.paces.Forget(id)
+	r.slow.Forget(id)
 	r.onRemove(id)
 }
 
@@ -302,6 +308,7 @@
 	defer r.mu.Unlock()
 	r.applyRunning(reply.Running)
 	r.applyPaces(reply)
+	r.slow.SetHosts(reply.Hosts)
 	if reply.View == nil {
 		return
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -94,6 +94,7 @@
 			}
 		}
 	}
+	s.shapeBySlowStart(candidates, options)
 	chosen, ok := routing.ExpectedParams.Choose(request, options, s.random)
 	if !ok {
 		return nil
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -90,6 +90,9 @@
 // Tracker keeps the paces of the upstreams that a host uses. It is not safe for concurrent
 // use.
 type Tracker struct {
+	// OnSample, if set, is called with each sample: ratio is the measured time relative to the
+	// usual one.
+	OnSample  func(now time.Duration, of Incarnation, ratio float64)
 	upstreams map[string]*upstream
 	services  map[string]*usual
 	runs      map[*Run]struct{}
@@ -249,6 +252,9 @@
 	u.factor = 0
 	u.freshSum += weight * logRatio(ratio)
 	u.freshWeight += weight
+	if t.OnSample != nil {
+		t.OnSample(now, run.of, ratio)
+	}
 }
 
 // frozen reports whether this host may have been frozen since the last call of Overdue.
