Slow start: times to the first event are no samples of a window

Cause: one slow sample closes a window, and the time to the first event depends on what is cached at the engine.

Change: samples with a weight below 0.5 don't count for windows; the fields fit beside the flags of a candidate.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -10,21 +10,21 @@
 
 // Candidate is an upstream that can serve a request.
 type Candidate struct {
-	Upstream    *catalog.Upstream
-	Load        int  // requests in progress there, over all hosts
-	Own         int  // part of Load: requests of this host
-	Tokens      int  // KV memory that the requests in progress may take, over all hosts
-	HasAdapter  bool // the requested adapter is loaded
-	InBackoff   bool // its connection recently broke or could not be opened
+	Upstream   *catalog.Upstream
+	Load       int  // requests in progress there, over all hosts
+	Own        int  // part of Load: requests of this host
+	Tokens     int  // KV memory that the requests in progress may take, over all hosts
+	HasAdapter bool // the requested adapter is loaded
+	InBackoff  bool // its connection recently broke or could not be opened
+	// Limited reports that the upstream has started or recovered and its window of concurrent
+	// requests limits it. Room is what the window leaves to this host, negative if exceeded.
+	Limited     bool
+	Room        float32
 	FailureRate float64
 	// ColdFor is how long the upstream stays cold; 0: it is not. A candidate that is cold may
 	// get a request now.
 	ColdFor time.Duration
 	Pace    float64 // its times relative to the usual ones of its service
-	// Limited reports that the upstream has started or recovered and its window of concurrent
-	// requests limits it. Room is what the window leaves to this host, negative if exceeded.
-	Limited bool
-	Room    float64
 	*Situation
 }
 
--- a/internal/gateway/slowstart.go
+++ b/internal/gateway/slowstart.go
@@ -19,6 +19,10 @@
 	// failedRun is the number of failed answers in succession after which an upstream has to
 	// recover.
 	failedRun = 3
+	// minSampleWeight is the weight from which a sample of the pace counts for a window. That of a
+	// time to the first event is lower: it depends on what is cached, and one slow sample closes
+	// a window.
+	minSampleWeight = 0.5
 )
 
 // newSlowStart returns the windows of a host.
@@ -86,8 +90,8 @@
 }
 
 // paceSample passes a sample of a pace on to the window of the upstream. The caller holds r.mu.
-func (r *Registry) paceSample(now time.Duration, of pace.Incarnation, ratio float64) {
-	if r.slow.Len() == 0 {
+func (r *Registry) paceSample(now time.Duration, of pace.Incarnation, ratio, weight float64) {
+	if r.slow.Len() == 0 || weight < minSampleWeight {
 		return
 	}
 	running := 0
@@ -120,7 +124,7 @@
 		return
 	}
 	if own, limited := r.slow.Window(now, slowIncarnation(c.Upstream)); limited {
-		c.Limited, c.Room = true, own-float64(c.Own)
+		c.Limited, c.Room = true, float32(own-float64(c.Own))
 	}
 }
 
@@ -151,7 +155,7 @@
 		case c.Limited:
 			limited = true
 			if !c.InBackoff {
-				largest = max(largest, c.Room)
+				largest = max(largest, float64(c.Room))
 			}
 		case !c.InBackoff:
 			free = true
@@ -161,13 +165,13 @@
 		return
 	}
 	for i := range candidates {
-		c, slots := &candidates[i], float64(max(1, options[i].Slots))
+		c, slots, room := &candidates[i], float64(max(1, options[i].Slots)), float64(candidates[i].Room)
 		switch {
 		case !c.Limited:
-		case free && c.Room < 1:
-			options[i].Penalty += slots + 1 - c.Room
-		case !free && c.Room < largest && largest > math.Inf(-1):
-			options[i].Penalty += slots * (largest - c.Room)
+		case free && room < 1:
+			options[i].Penalty += slots + 1 - room
+		case !free && room < largest && largest > math.Inf(-1):
+			options[i].Penalty += slots * (largest - room)
 		}
 	}
 }
--- a/internal/gateway/slowstart_test.go
+++ b/internal/gateway/slowstart_test.go
@@ -8,6 +8,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/pace"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -41,6 +42,12 @@
 			t.Errorf("%s limited: %v", id, c.Limited)
 		}
 	}
+	for _, weight := range []float64{0.1, 1} {
+		r.paceSample(now+minBackoff, pace.Incarnation{ID: "s4"}, 3, weight)
+	}
+	if closes := r.slow.Closes(); closes != 1 {
+		t.Errorf("closed %d times; a time to the first event says little", closes)
+	}
 	now += time.Minute
 	r.takePaces()
 	expect()
@@ -52,7 +59,7 @@
 // Guards against a window that makes a request wait or be refused, and one that does not shape the
 // choice.
 func TestChoiceBySlowStart(t *testing.T) {
-	limited := func(room float64) Candidate { return Candidate{Limited: true, Room: room} }
+	limited := func(room float32) Candidate { return Candidate{Limited: true, Room: room} }
 	for name, test := range map[string]struct {
 		candidates []Candidate
 		want       int
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -92,7 +92,7 @@
 type Tracker struct {
 	// OnSample, if set, is called with each sample: ratio is the measured time relative to the
 	// usual one.
-	OnSample  func(now time.Duration, of Incarnation, ratio float64)
+	OnSample  func(now time.Duration, of Incarnation, ratio, weight float64)
 	upstreams map[string]*upstream
 	services  map[string]*usual
 	runs      map[*Run]struct{}
@@ -253,7 +253,7 @@
 	u.freshSum += weight * logRatio(ratio)
 	u.freshWeight += weight
 	if t.OnSample != nil {
-		t.OnSample(now, run.of, ratio)
+		t.OnSample(now, run.of, ratio, weight)
 	}
 }
 
