--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusbank/arbutusbank/internal/admission"
 	"github.com/arbutusbank/arbutusbank/internal/call"
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coldstart"
@@ -50,6 +51,9 @@
 	// withheld counts the sends that were given up because of a statement that arrived
 	// after the upstream was chosen.
 	withheld int
+	// releaseSlot releases the slot that was taken for the next send; nil: none.
+	releaseSlot func()
+	entry       *admission.Entry // of the last wait for a slot
 	// coldPermit is that of the current run, if its upstream is cold.
 	coldPermit coldstart.Permit
 	relay      relay
@@ -78,6 +82,7 @@
 		inbound: in, ctx: ctx, tried: map[string]bool{},
 		modelKey: coordinator.ModelKey{Service: in.service.Name, Model: in.request.Model},
 	}
+	defer d.dropSlot()
 	defer func() {
 		if in.trial != nil {
 			in.trial.ran = d.runs > 0
@@ -100,6 +105,7 @@
 			return d.finalRefusal(refused)
 		}
 		again, refused := d.send(candidate)
+		d.dropSlot()
 		if !again {
 			return d.finalRefusal(refused)
 		}
@@ -145,8 +151,7 @@
 	id := candidate.Upstream.ID
 	d.record.upstream = id
 	d.upstream = candidate.Upstream
-	release := d.gateway.registry.TrackRequest(id, d.request.Model, d.request.Adapter, d.request.PromptTokens+d.request.OutputTokens)
-	defer release()
+	defer d.trackSend(id)()
 	d.candidate, d.run, d.record.choice = candidate, nil, candidate
 	defer func() { d.gateway.registry.EndRun(d.run, false) }()
 	ctx, cancel := context.WithCancelCause(d.ctx)
@@ -209,7 +214,7 @@
 		attempt.Workspace = d.workspace.Name
 	}
 	if d.isEngine() {
-		attempt.Priority = min(maxPriority, enginePriorityOffset+d.priority())
+		attempt.Priority = min(maxPriority, enginePriorityOffset+d.urgency())
 	}
 	return &upstream.Request{
 		Key: to.ID, ID: d.request.ID, Address: to.Address, Method: d.httpRequest.Method, Target: d.httpRequest.RequestURI, Host: d.httpRequest.Host,
@@ -289,6 +294,7 @@
 // handleLostAnswer decides what follows a send whose connection ended before the answer.
 func (d *dispatcher) handleLostAnswer(id string, err error) (bool, *refusal) {
 	if d.ctx.Err() != nil {
+		d.gateway.slots.recordLost(d)
 		return false, d.timedOut()
 	}
 	if d.isCancelledRun() {
@@ -323,13 +329,16 @@
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
 	d.tried[id] = true
-	if d.gateway.protocol.Misdirected(response.Status) {
+	misdirected := d.gateway.protocol.Misdirected(response.Status)
+	if misdirected {
 		d.returnCold()
-	} else {
-		d.gateway.registry.RecordRefused(d.upstream)
 	}
-	if d.gateway.protocol.Misdirected(response.Status) && d.isEngine() {
+	switch {
+	case misdirected && d.isEngine():
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
+	case !misdirected:
+		d.gateway.registry.RecordRefused(d.upstream)
+		d.gateway.slots.recordFull(d, id, d.upstream.Slots)
 	}
 	d.gateway.log.Info("Upstream did not run the request.", "request", d.request.ID, "upstream", id, "status", response.Status,
 		"sends", d.sends)
--- a/internal/gateway/slowstart_test.go
+++ b/internal/gateway/slowstart_test.go
@@ -83,3 +83,14 @@
 		}
 	}
 }
+
+// Guards against a window that lets a whole queue through at once: the requests of one pass share
+// the candidates.
+func TestQueueUsesUpRoom(t *testing.T) {
+	candidates := []Candidate{{Upstream: &catalog.Upstream{ID: "a"}, Limited: true, Room: 1}}
+	p := slotPass{candidates: map[candidatesKey][]Candidate{{}: candidates}}
+	p.addLoad("a", 10)
+	if candidates[0].Room != 0 {
+		t.Errorf("room %v", candidates[0].Room)
+	}
+}
