--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -346,6 +346,7 @@
 	case misdirected && d.isEngine():
 		d.gateway.registry.RecordMissing(id, d.request.Model, d.request.Adapter)
 	case !misdirected:
+		d.gateway.registry.RecordRefused(d.upstream)
 		d.gateway.slots.recordFull(d, id, d.upstream.Slots)
 	}
 	d.gateway.log.Info("Upstream did not run the request.", "request", d.request.ID, "upstream", id, "status", response.Status,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	g.uncertainEnds = newUncertainEnds()
 	g.random = rand.New(globalSource{})
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
+	g.registry.slow = newSlowStart(s.Host)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
 		g.config.onRows = func(rows []table.Row, full bool) {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -107,6 +107,7 @@
 			}
 		}
 	}
+	s.shapeBySlowStart(candidates, options)
 	return request
 }
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -99,6 +99,7 @@
 			if candidates[i].Upstream.ID == id {
 				candidates[i].Load++
 				candidates[i].Own++
+				candidates[i].Room--
 				candidates[i].Tokens += tokens
 			}
 		}
