Route query: the penalty of a full window is listed

Cause: slow start adds to the penalty after the others, so that the parts did not sum up. Change: penalties.slow_start. Result: go test -run 'Query|Queries|Route' ./internal/gateway ./internal/ctl passes.

--- a/internal/gateway/route_query.go
+++ b/internal/gateway/route_query.go
@@ -222,6 +222,7 @@
 			Load: o.InFlight + o.OtherLoad, Own: o.InFlight, Slots: o.Slots, Pace: o.Pace, FailureRate: c.FailureRate,
 			InBackoff: c.InBackoff, ColdForMS: c.ColdFor.Milliseconds(), HasAdapter: c.HasAdapter, Penalties: s.penalties(c),
 		}
+		answer.Penalties.SlowStart = o.Penalty - answer.Penalties.sum()
 		if e.Index == owner {
 			answer.CachedTokens = cached
 		}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -118,6 +118,7 @@
 	RemoteDataCenter float64 `json:"remote_data_center"`
 	Cold             float64 `json:"cold"`
 	MissingAdapter   float64 `json:"missing_adapter"`
+	SlowStart        float64 `json:"slow_start"` // set by shapeBySlowStart in the options
 }
 
 func (p Penalties) sum() float64 {
