--- a/internal/coordinator/eviction.go
+++ b/internal/coordinator/eviction.go
@@ -101,8 +101,8 @@
 		return 0, false
 	}
 	reload := p.loadTime(model, p.source(engine, model))
-	// The next request waits for the load, and evicts another model in turn, or crowds the
-	// other replicas.
+	// The next request waits for the load, which evicts another model in turn, or adds to the
+	// load of the other replicas.
 	requested := 1 - math.Exp(-max(demand.Rate, demand.SteadyRate)/float64(max(1, ready))*residenceTime.Seconds())
 	return requested * (reload + reloadOverhead).Seconds(), true
 }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -25,12 +25,11 @@
 	remoteDataCenterPenalty = 0.6
 	// missingAdapterPenalty is that of loading the adapter.
 	missingAdapterPenalty = 8.0
-	// coldPenalty is that of a cold upstream, which takes a few requests per second only. It is
-	// half of the slots of a usual plain service: chosen, not measured.
+	// coldPenalty is that of a cold upstream, which takes a few requests per second only: half
+	// of the slots of a usual plain service.
 	coldPenalty = 3.0
 	// arrivalMargin multiplies the arrivals that are expected of other hosts: they come
-	// unevenly. Of 65 requests per second at 20 equal engines, 0.982 were on time with a
-	// margin of 1, 0.991 with 2, 0.985 with 4 (trials of TestChoiceUnderLoad).
+	// unevenly.
 	arrivalMargin = 2.0
 	// maxOthersAge is the age up to which counts of other hosts' requests are used as they
 	// are; hosts report every 400 ms at least.
