--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # A target that has not ended by then fails; it may hang on an input.
 FUZZ_TIMEOUT ?= 10m
 
-.PHONY: all build demo test check unit fuzz spec faults bench capacity
+.PHONY: all build demo test check unit crowd fuzz spec faults bench capacity
 
 all: build
 
@@ -15,7 +15,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 # Formatter, vet, staticcheck, race-enabled tests, model checks.
-test: check unit fuzz spec
+test: check unit crowd fuzz spec
 
 check:
 	@unformatted=$$(gofmt -l cmd internal platform tests); \
@@ -25,7 +25,13 @@
 
 # The environment variable RED_TESTS is the pattern of the tests to skip; set by .ci/run.
 unit:
-	$(GO) test -race -count=1 -timeout 12m $${RED_TESTS:+-skip "$$RED_TESTS"} ./... ./tests/...
+	$(GO) test -race -count=1 -timeout 12m $${RED_TESTS:+-skip "$$RED_TESTS"} \
+		$$($(GO) list ./... ./tests/... | grep -v '/tests/crowd$$')
+
+# Crowds of uncontrolled callers against real processes, one test at a time and without the
+# other packages beside them, since they bound the memory of a process.
+crowd:
+	$(GO) test -race -count=1 -timeout 12m -parallel 1 $${RED_TESTS:+-skip "$$RED_TESTS"} ./tests/crowd
 
 # Fuzz targets for bytes from outside; inputs that fail are kept under testdata/fuzz.
 fuzz:
