--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,8 @@
 // case could not run.
 var cases = map[string]func(c *runningCase) (held bool, err error){
 	"crowd":   runCrowd,
+	"limit":   runLimit,
+	"models":  runModels,
 	"options": runOptions,
 }
 
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -32,6 +32,8 @@
 	history []row
 	version int64
 	changed chan struct{}
+	// onCommit is called with the rows that a host writes. Optional.
+	onCommit func(rows []row)
 }
 
 func startStore() (*store, error) {
@@ -138,6 +140,9 @@
 		r.Version = s.version
 		s.apply(r)
 	}
+	if s.onCommit != nil {
+		s.onCommit(call.SetKeys)
+	}
 	s.answer(w, http.StatusOK, []row{})
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,9 +19,13 @@
 // workTime is the time for which a worker works on a request.
 const workTime = 30 * time.Millisecond
 
-// worker is a stand-in for a worker of the plain service. It has no faults.
+// workerStart is the start of the workers, in Unix milliseconds.
+const workerStart = 1_700_000_000_000
+
+// worker is a stand-in for a worker. It has no faults.
 type worker struct {
 	id, address string
+	model       string // that an engine holds; "": a worker of the plain service
 
 	mu   sync.Mutex
 	runs map[string]int // by request ID
@@ -38,13 +43,21 @@
 
 // entry is the worker's entry in the store.
 func (w *worker) entry() map[string]any {
+	service, slots, models := ledgerService, 6, []any{}
+	if w.model != "" {
+		service, slots, models = engineService, 64, []any{map[string]any{"name": w.model, "version": 1, "adapters": []any{}}}
+	}
 	return map[string]any{
-		"service": ledgerService, "address": w.address, "zone": "obihiro", "version": "v1", "slots": 6, "state": "ready",
-		"coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000, "models": []any{},
+		"service": service, "address": w.address, "zone": "obihiro", "version": "v1", "slots": slots, "state": "ready",
+		"coldLeftMs": 0, "seq": 1, "born": workerStart, "models": models,
 	}
 }
 
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/arbutusbank/") {
+		w.report(rw, r)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // the host has disconnected
 	}
@@ -87,17 +100,20 @@
 const (
 	// hostName is the Host header of the routes.
 	hostName = "seed.example"
-	// lookupPrefix is the path prefix of the route to the plain service, reviewPrefix that of
-	// the route to the model engines.
-	lookupPrefix = "/lookup/"
-	reviewPrefix = "/review/"
+	// lookupPrefix is the path prefix of the route to the plain service, reviewPrefix and
+	// summaryPrefix are those of routes to the model engines.
+	lookupPrefix  = "/lookup/"
+	reviewPrefix  = "/review/"
+	summaryPrefix = "/summary/"
+	// configuredModel is the only model of the configuration.
+	configuredModel = "m1"
 	// headerBytes and bodyBytes are the limits of the small deployments.
 	headerBytes = 16384
 	bodyBytes   = 4194304
 )
 
-// configuration has two public routes with the times of the sheet, and the limits of the small
-// deployments. No case sends a whole request to the engines, so there are none.
+// configuration has public routes with the times of the sheet, and the limits of the small
+// deployments.
 func configuration() map[string]any {
 	return map[string]any{
 		"version": 1,
@@ -110,12 +126,16 @@
 				"name": "overnight-review", "host": hostName, "prefix": reviewPrefix, "kind": "streaming", "timeoutMs": 20000, "sloMs": 2500,
 				"priority": 2, "service": engineService, "attempts": 2, "public": true, "resumable": true, "sticky": true, "gapTargetMs": 250,
 			},
+			map[string]any{
+				"name": "accession-summary", "host": hostName, "prefix": summaryPrefix, "kind": "streaming", "timeoutMs": 15000, "sloMs": 500,
+				"priority": 1, "service": engineService, "attempts": 1, "public": true, "sticky": true, "gapTargetMs": 250,
+			},
 		},
 		"services": []any{
 			map[string]any{"name": ledgerService, "maxConns": 110, "healthPath": "/health"},
 			map[string]any{"name": engineService, "maxConns": 370, "healthPath": "/health", "engine": map[string]any{
 				"slots": 64, "kvCapacity": 140491, "weightsMb": 200000, "adapterSlots": 8, "loadsPerS": 6,
-				"models": []any{map[string]any{"name": "m1", "weightsMb": 65500, "loadS": 6, "adapters": 0, "adapterMb": 40, "warmS": 0.57, "diskS": 0.74}},
+				"models": []any{map[string]any{"name": configuredModel, "weightsMb": 65500, "loadS": 6, "adapters": 0, "adapterMb": 40, "warmS": 0.57, "diskS": 0.74}},
 			}},
 		},
 		"limits": map[string]any{
