--- a/review/standin-2/limit.go
+++ b/review/standin-2/limit.go
@@ -19,6 +19,8 @@
 	afterBeat = 50 * time.Millisecond
 	// settleTime is the time after the start before the first cold model is asked for.
 	settleTime = 4 * time.Second
+	// termStart is the time from the write of a lease until its holder acts on the answer.
+	termStart = 100 * time.Millisecond
 	// adapterDeadline is how long a caller waits that asks for an adapter.
 	adapterDeadline = 300 * time.Millisecond
 	// keepers is the number of callers of each model of the second engine.
@@ -104,6 +106,7 @@
 			return false, err
 		}
 		c.record("%s holds the lease", next)
+		time.Sleep(termStart)
 	}
 	got := c.ask(hosts[next], "adapter", "m1/a1", adapterDeadline)
 	if c.trouble && !strings.Contains(got.body, "orders pause") {
