--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +42,7 @@
 // runCrowd checks that a process stays within the memory of its machine while a crowd of
 // callers sends bodies that stop short of their end.
 func runCrowd(c *runningCase) (held bool, err error) {
-	platform, _, err := startPlatform()
+	platform, _, err := c.startPlatform()
 	if err != nil {
 		return false, err
 	}
@@ -92,6 +96,7 @@
 // function ends it.
 func gatherCrowd(c *runningCase, h *host) (disperse func()) {
 	ended := make(chan struct{})
+	outcomes := newOutcomes()
 	var gone sync.WaitGroup
 	for n, group := range crowd {
 		var sent sync.WaitGroup
@@ -100,7 +105,7 @@
 			gone.Add(1)
 			go func() {
 				defer gone.Done()
-				group.attend(h.callers, fmt.Sprintf("crowd-%d-%d", n, i), sent.Done, ended)
+				group.attend(h.callers, fmt.Sprintf("crowd-%d-%d", n, i), sent.Done, ended, outcomes)
 			}()
 		}
 		sent.Wait()
@@ -108,18 +113,66 @@
 			n+1, group.members, group.headBytes, privateMemory(h.command.Process.Pid))
 	}
 	return func() {
+		c.record("of the crowd: %s", outcomes)
 		close(ended)
 		gone.Wait()
 	}
 }
 
+// outcomes counts the members of the crowd by what they have got so far. It is safe for
+// concurrent use.
+type outcomes struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func newOutcomes() *outcomes { return &outcomes{counts: map[string]int{}} }
+
+// move moves a member from one outcome to another; from "": a new member.
+func (o *outcomes) move(from, to string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if from != "" {
+		o.counts[from]--
+	}
+	o.counts[to]++
+}
+
+// String lists the outcomes.
+func (o *outcomes) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(o.counts)) {
+		list = append(list, fmt.Sprintf("%d %s", o.counts[name], name))
+	}
+	return strings.Join(list, ", ")
+}
+
+// stays is the outcome of members without an answer whose connection is open.
+const stays = "stay without an answer"
+
+// await records what a member gets.
+func (o *outcomes) await(conn net.Conn) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		o.move(stays, "closed without an answer")
+		return
+	}
+	_ = response.Body.Close() // only the status matters
+	o.move(stays, fmt.Sprintf("answered %d", response.StatusCode))
+}
+
 // attend sends one member's part and stays until the crowd ends.
-func (g crowdGroup) attend(address, id string, sent func(), ended <-chan struct{}) {
+func (g crowdGroup) attend(address, id string, sent func(), ended <-chan struct{}, outcomes *outcomes) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
+		outcomes.move("", "not connected")
 		sent()
 		return
 	}
+	outcomes.move("", stays)
+	go outcomes.await(conn)
 	defer conn.Close()
 	_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout)) // a TCP connection supports it
 	_, _ = io.WriteString(conn, g.head(id))                // the host may refuse it
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -250,6 +250,7 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.c.record("%s: runs %s, model %s", e.id, id, r.Header.Get("Model"))
 	rw.Header().Set("Response-Signature", "sig."+e.id)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first := 1
--- a/review/standin-2/models.go
+++ b/review/standin-2/models.go
@@ -24,11 +24,11 @@
 // runModels checks that a process stays within the memory of its machine while callers send
 // whole bodies for models that the configuration does not have, no two alike.
 func runModels(c *runningCase) (held bool, err error) {
-	platform, _, err := startPlatform()
+	platform, _, err := c.startPlatform()
 	if err != nil {
 		return false, err
 	}
-	engine, err := startWorker("engine-1")
+	engine, err := c.startWorker("engine-1")
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-2/options.go
+++ b/review/standin-2/options.go
@@ -11,7 +11,7 @@
 
 // runOptions checks that a success comes only with the signature of a worker.
 func runOptions(c *runningCase) (held bool, err error) {
-	platform, workers, err := startPlatform()
+	platform, workers, err := c.startPlatform()
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -26,17 +26,18 @@
 type worker struct {
 	id, address string
 	model       string // that an engine holds; "": a worker of the plain service
+	c           *runningCase
 
 	mu   sync.Mutex
 	runs map[string]int // by request ID
 }
 
-func startWorker(id string) (*worker, error) {
+func (c *runningCase) startWorker(id string) (*worker, error) {
 	listener, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, address: listener.Addr().String(), runs: map[string]int{}}
+	w := &worker{id: id, address: listener.Addr().String(), c: c, runs: map[string]int{}}
 	go func() { _ = http.Serve(listener, http.HandlerFunc(w.serve)) }() // until the case ends
 	return w, nil
 }
@@ -72,20 +73,21 @@
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
+	w.c.record("%s: runs %s", w.id, id)
 	time.Sleep(workTime)
 	rw.Header().Set("Response-Signature", "sig."+w.id)
 	fmt.Fprintf(rw, "answer of %s to %s", w.id, id)
 }
 
 // startPlatform starts a store with a configuration and the entries of three workers.
-func startPlatform() (*store, []*worker, error) {
+func (c *runningCase) startPlatform() (*store, []*worker, error) {
 	s, err := startStore()
 	if err != nil {
 		return nil, nil, err
 	}
 	var workers []*worker
 	for i := range 3 {
-		w, err := startWorker(fmt.Sprintf("ledger-%d", i+1))
+		w, err := c.startWorker(fmt.Sprintf("ledger-%d", i+1))
 		if err != nil {
 			return nil, nil, err
 		}
