Answers with an impossible status are rejected

Callers of a gateway got, for a worker's answer with status 000 or 099, the bytes of its body as the answer (status 200 where they looked like one), or 504 at their deadline where no body followed; an unasked 101, a 600 and a 999 were passed on.

Cause: net/http parses any three characters that strconv.Atoi takes for a number as a status, and the connection to an upstream took every status below 200 for that of an interim response, skipped it and read the next head out of the body.

Change: internal/stricthttp checks the bytes of each response head, those of interim ones too, while they are read: version 1.x, one blank, a status from 100 to 599, and not 101, as no request asks for it. A malformed head fails the read like a lost connection, so such an answer may have run: 502 for what must run once, another upstream for what is safe. The check is made on the bytes because net/http keeps no copy of the line and because interim heads have no other place.

--- /dev/null
+++ b/internal/stricthttp/reader.go
@@ -0,0 +1,174 @@
+// Package stricthttp rejects HTTP/1.x responses that net/http accepts although RFC 9112 does
+// not: those with an impossible status.
+package stricthttp
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"sync"
+)
+
+// MalformedError reports a response that is not HTTP/1.x.
+type MalformedError struct{ Reason string }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "malformed response: " + e.Reason }
+
+// position is where in a response the next byte belongs.
+type position uint8
+
+const (
+	inBody position = iota // or between two responses
+	inStatusLine
+	atField // at the start of a field or at the end of the head
+	inField
+	atHeadEnd // after the carriage return of an empty line
+)
+
+// maxStartBytes is the length of the begin of a status line that is checked: version, status and
+// the blank or line break after it.
+const maxStartBytes = len("HTTP/1.1 200 ")
+
+// statusLine matches the begin of a status line.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])[ \r]?$`)
+
+var switchingProtocols = strconv.Itoa(http.StatusSwitchingProtocols)
+
+// Reader reads from a connection and checks the heads of the responses. It is safe for
+// concurrent use by one goroutine that reads and another one that calls the other methods.
+type Reader struct {
+	source io.Reader
+
+	mu       sync.Mutex
+	position position
+	start    []byte // of the status line, up to maxStartBytes
+	interim  bool   // the current head is that of an interim response
+	expected Head
+	read     Head  // the last one that was read completely
+	err      error // ends all further reads
+}
+
+// Head is the number of a head that a Reader was told to expect.
+type Head uint64
+
+// NewReader returns a reader that expects no head.
+func NewReader(source io.Reader) *Reader {
+	return &Reader{source: source, start: make([]byte, 0, maxStartBytes)}
+}
+
+// ExpectHead makes the reader check the head of the next response, and of interim ones
+// before it. buffered are the bytes of it that have been read already. It returns a
+// MalformedError, also if an earlier response was malformed.
+func (r *Reader) ExpectHead(buffered []byte) (Head, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected++
+	r.position, r.start = inStatusLine, r.start[:0]
+	r.check(buffered)
+	return r.expected, r.err
+}
+
+// HeadRead reports whether an expected head has been read completely.
+func (r *Reader) HeadRead(head Head) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read >= head
+}
+
+// Read implements io.Reader. A malformed head ends with its first malformed byte; the reads
+// after it return a MalformedError.
+func (r *Reader) Read(p []byte) (int, error) {
+	if err := r.Err(); err != nil {
+		return 0, err
+	}
+	n, err := r.source.Read(p)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if checked := r.check(p[:n]); r.err != nil {
+		return checked, nil
+	}
+	return n, err
+}
+
+// check checks bytes up to the end of the head or the first malformed one, which sets the
+// reader's error. It returns their number.
+func (r *Reader) check(data []byte) int {
+	for i, b := range data {
+		if r.position == inBody || r.err != nil {
+			return i
+		}
+		r.err = r.step(b)
+	}
+	return len(data)
+}
+
+// Err returns the MalformedError that has ended the reads, nil if none has.
+func (r *Reader) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err
+}
+
+// step checks one byte of a head.
+func (r *Reader) step(b byte) error {
+	switch r.position {
+	case inStatusLine:
+		return r.stepStatusLine(b)
+	case atField:
+		r.stepField(b)
+	case inField:
+		if b == '\n' {
+			r.position = atField
+		}
+	case atHeadEnd:
+		if b != '\n' {
+			return &MalformedError{Reason: "carriage return without a line feed"}
+		}
+		r.endHead()
+	}
+	return nil
+}
+
+func (r *Reader) stepStatusLine(b byte) error {
+	if b == '\n' {
+		return r.endStatusLine()
+	}
+	if len(r.start) < maxStartBytes {
+		r.start = append(r.start, b)
+	}
+	return nil
+}
+
+func (r *Reader) stepField(b byte) {
+	switch b {
+	case '\n':
+		r.endHead()
+	case '\r':
+		r.position = atHeadEnd
+	default:
+		r.position = inField
+	}
+}
+
+// endHead ends a head; that of an interim response is followed by another one.
+func (r *Reader) endHead() {
+	if r.interim {
+		r.position, r.start = inStatusLine, r.start[:0]
+		return
+	}
+	r.position, r.read = inBody, r.expected
+}
+
+// endStatusLine checks the begin of the status line. Switching the protocol is malformed, as
+// no request asks for it.
+func (r *Reader) endStatusLine() error {
+	match := statusLine.FindSubmatch(r.start)
+	if match == nil || string(match[1]) == switchingProtocols {
+		return &MalformedError{Reason: "status line begins with " + strconv.Quote(string(r.start))}
+	}
+	r.interim = match[1][0] == '1'
+	r.position = atField
+	return nil
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
 )
 
 const (
@@ -110,7 +112,8 @@
 type conn struct {
 	socket    net.Conn
 	limiter   *headerLimiter
-	reader    *bufio.Reader
+	checked   *stricthttp.Reader // reads from limiter
+	reader    *bufio.Reader      // reads from checked
 	expiresAt time.Time
 	closeOnce sync.Once
 	refused   []string // IDs of the requests that the upstream refused on this connection
@@ -119,7 +122,8 @@
 
 func newConn(socket net.Conn) *conn {
 	limiter := &headerLimiter{source: socket, left: -1}
-	return &conn{socket: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	checked := stricthttp.NewReader(limiter)
+	return &conn{socket: socket, limiter: limiter, checked: checked, reader: bufio.NewReaderSize(checked, readBufferBytes)}
 }
 
 func (c *conn) close() {
@@ -132,6 +136,14 @@
 	return c.reader.Buffered() == 0 && !hasPendingData(c.socket)
 }
 
+// expectHead makes the connection check the next head, of which a part may be buffered. It
+// returns a stricthttp.MalformedError.
+func (c *conn) expectHead() error {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails, as it reads nothing
+	_, err := c.checked.ExpectHead(buffered)
+	return err
+}
+
 // Response is an upstream's response. The caller reads the body and must call Close.
 type Response struct {
 	Status int
@@ -180,7 +192,7 @@
 	}
 	if err := response.readHeader(); err != nil {
 		response.Close()
-		return nil, &IncompleteResponseError{Cause: err}
+		return nil, err
 	}
 	return response, nil
 }
@@ -220,16 +232,20 @@
 	return header.Bytes()
 }
 
-// readHeader reads the header of the final response; it skips interim ones.
+// readHeader reads the header of the final response; it skips interim ones. It returns an
+// IncompleteResponseError.
 func (r *Response) readHeader() error {
 	r.conn.limiter.left = maxHeaderBytes
 	defer func() { r.conn.limiter.left = -1 }()
+	if err := r.conn.expectHead(); err != nil {
+		return &IncompleteResponseError{Cause: err}
+	}
 	for {
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: r.method})
 		if err != nil {
-			return err
+			return &IncompleteResponseError{Cause: err}
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= 200 {
 			r.head = response
 			break
 		}
@@ -253,10 +269,7 @@
 		return &IncompleteResponseError{HeaderReceived: true, Cause: &ForeignResponseError{}}
 	}
 	r.complete = false
-	if err := r.readHeader(); err != nil {
-		return &IncompleteResponseError{Cause: err}
-	}
-	return nil
+	return r.readHeader()
 }
 
 // HasEnd reports whether the response states where its body ends. Otherwise it ends with
--- /dev/null
+++ b/tests/gateway/malformed_answer_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
+)
+
+// malformedVariants are the malformed variants of an answer that a worker gives.
+type malformedVariants struct {
+	of    func(stricthttptest.Response) map[string]string // by name
+	given atomic.Value                                    // name of the variant that is given
+}
+
+// answer gives the current variant of an answer whose body is an event.
+func (v *malformedVariants) answer(conn net.Conn, request *http.Request) {
+	sound := stricthttptest.Response{
+		Fields: strings.TrimPrefix(answerHeader(request), "HTTP/1.1 200 OK\r\n") + "\r\n",
+		Body:   "id: 1\ndata: of a malformed answer\n\n",
+	}
+	_, _ = io.WriteString(conn, v.of(sound)[v.given.Load().(string)])
+}
+
+// each runs a test with each of the variants. id differs between them.
+func (v *malformedVariants) each(t *testing.T, test func(t *testing.T, id string)) {
+	for i, name := range slices.Sorted(maps.Keys(v.of(stricthttptest.Response{}))) {
+		v.given.Store(name)
+		t.Run(name, func(t *testing.T) { test(t, fmt.Sprintf("malformed-%d", i)) })
+	}
+}
+
+// maxSafeTries bounds the requests of which one must reach the second of two workers.
+const maxSafeTries = 100
+
+func checkNotAnswered(t *testing.T, got response) {
+	t.Helper()
+	if got.status != http.StatusBadGateway || strings.Contains(got.body, "malformed") || got.header.Get("Response-Signature") != "" {
+		t.Errorf("status %d, truncated %v, header %v, body %q; want 502 and nothing of the worker's", got.status, got.truncated, got.header, got.body)
+	}
+}
+
+// testOnce sends requests that must run once.
+func (v *malformedVariants) testOnce(t *testing.T) {
+	f := newTestFleet(t, 1)
+	w := f.newRawWorker("ledger", v.answer)
+	v.each(t, func(t *testing.T, id string) {
+		before := len(w.runsSoFar())
+		checkNotAnswered(t, f.send(0, http.MethodPost, "/withdraw/1", id, id))
+		if runs := len(w.runsSoFar()) - before; runs != 1 {
+			t.Errorf("%d runs", runs)
+		}
+	})
+}
+
+// testSafe sends safe requests, for each variant until one has reached a worker that gives it. A
+// second worker answers them all.
+func (v *malformedVariants) testSafe(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		_, _ = io.WriteString(conn, answerHeader(request)+"\r\nContent-Length: 5\r\n\r\nsound")
+	})
+	v.each(t, func(t *testing.T, id string) {
+		odd := f.addRawWorker(id, "ledger", v.answer)
+		defer f.store.Remove("servers", id)
+		for i := 0; len(odd.runsSoFar()) == 0; i++ {
+			got := f.send(0, http.MethodPost, "/lookup/"+id, fmt.Sprintf("%s-%d", id, i), "lot")
+			if got.status != http.StatusOK || got.body != "sound" {
+				t.Errorf("status %d, body %q; want the sound worker's answer", got.status, got.body)
+			}
+			if i == maxSafeTries {
+				t.Fatalf("none of %d requests reached the worker with malformed answers", i)
+			}
+		}
+	})
+}
+
+// testStream sends requests for streams that have nothing in common, each to an engine that is
+// not avoided yet. check checks what the caller gets.
+func (v *malformedVariants) testStream(t *testing.T, check func(t *testing.T, got response)) {
+	f := newTestFleet(t, 1)
+	f.store.Remove("servers", f.engine.ID)
+	v.each(t, func(t *testing.T, id string) {
+		w := f.addRawWorker(id, "llm", v.answer)
+		defer f.store.Remove("servers", id)
+		check(t, f.sendModelRequest(0, "/chat/"+id, id, "m1", "Prompt-Prefix", id+":50,b2:50"))
+		if runs := len(w.runsSoFar()); runs != 1 {
+			t.Errorf("%d runs", runs)
+		}
+	})
+}
+
+func testMalformedHead(t *testing.T, variants func(stricthttptest.Response) map[string]string) {
+	t.Run("once", func(t *testing.T) { (&malformedVariants{of: variants}).testOnce(t) })
+	t.Run("safe", func(t *testing.T) { (&malformedVariants{of: variants}).testSafe(t) })
+	t.Run("stream", func(t *testing.T) { (&malformedVariants{of: variants}).testStream(t, checkNotAnswered) })
+}
+
+// Guards against an answer with an impossible status that reaches the caller, or that is
+// skipped like an interim one, so that its body is read as the answer or the request is held
+// (checks MIXED and LOST).
+func TestAnswerWithMalformedStatus(t *testing.T) {
+	testMalformedHead(t, stricthttptest.Response.MalformedStatus)
+}
