Answers with an impossible name of a field are rejected

Callers of a gateway got a worker's answer in whose head the name of a field held a blank, or stood behind one: with 200, without that line or with it as part of the line before. Where the line was "Content-Length : 9" or "Transfer-Encoding : chunked" the body was another one than the worker's (for the latter, its chunks with their sizes), or the request was held until 504.

Cause: net/textproto accepts blanks in names, does not take such a field for the one that it looks like, and joins a line that begins with a blank to the field before it.

Change: internal/stricthttp checks names (tokens of RFC 9110, by httpguts of golang.org/x/net), folded lines and values. RFC 9112, 5.2, lets a gateway answer 502 for folded lines. Control bytes in names and values were rejected before; the tests for them stay.

Measured: TestAnswerWithMalformedName fails in 24 of its 42 cases without this change (each of 8 variants for a request that runs once, a safe one and a stream; the 6 with a control byte or no name pass) and passes in all with it; FuzzReader, 300,000 inputs, finds no header with an impossible name.

--- a/internal/stricthttp/reader.go
+++ b/internal/stricthttp/reader.go
@@ -1,5 +1,6 @@
 // Package stricthttp rejects HTTP/1.x responses that net/http accepts although RFC 9112 does
-// not: those with an impossible status.
+// not: those with an impossible status, and those with a blank in or before the name of a
+// field, which may be the one that was to state the length of the body.
 package stricthttp
 
 import (
@@ -8,6 +9,8 @@
 	"regexp"
 	"strconv"
 	"sync"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError reports a response that is not HTTP/1.x.
@@ -23,14 +26,18 @@
 	inBody position = iota // or between two responses
 	inStatusLine
 	atField // at the start of a field or at the end of the head
-	inField
-	atHeadEnd // after the carriage return of an empty line
+	inFieldName
+	inFieldValue
+	atFieldEnd // after the carriage return of a field
+	atHeadEnd  // after the carriage return of an empty line
 )
 
 // maxStartBytes is the length of the begin of a status line that is checked: version, status and
 // the blank or line break after it.
 const maxStartBytes = len("HTTP/1.1 200 ")
 
+const del = 0x7f // ASCII DEL, a control byte
+
 // statusLine matches the begin of a status line.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])[ \r]?$`)
 
@@ -117,16 +124,19 @@
 	case inStatusLine:
 		return r.stepStatusLine(b)
 	case atField:
-		r.stepField(b)
-	case inField:
-		if b == '\n' {
-			r.position = atField
-		}
-	case atHeadEnd:
-		if b != '\n' {
-			return &MalformedError{Reason: "carriage return without a line feed"}
-		}
+		return r.stepField(b)
+	case inFieldName:
+		return r.stepFieldName(b)
+	case inFieldValue:
+		return r.stepFieldValue(b)
+	}
+	if b != '\n' {
+		return &MalformedError{Reason: "carriage return without a line feed"}
+	}
+	if r.position == atHeadEnd {
 		r.endHead()
+	} else {
+		r.position = atField
 	}
 	return nil
 }
@@ -141,15 +151,41 @@
 	return nil
 }
 
-func (r *Reader) stepField(b byte) {
+func (r *Reader) stepField(b byte) error {
 	switch b {
 	case '\n':
 		r.endHead()
+		return nil
 	case '\r':
 		r.position = atHeadEnd
-	default:
-		r.position = inField
+		return nil
+	case ':':
+		return &MalformedError{Reason: "field without a name"}
+	}
+	r.position = inFieldName
+	return r.stepFieldName(b)
+}
+
+func (r *Reader) stepFieldName(b byte) error {
+	switch {
+	case b == ':':
+		r.position = inFieldValue
+	case !httpguts.IsTokenRune(rune(b)):
+		return &MalformedError{Reason: "byte " + strconv.QuoteRune(rune(b)) + " in the name of a field"}
 	}
+	return nil
+}
+
+func (r *Reader) stepFieldValue(b byte) error {
+	switch {
+	case b == '\n':
+		r.position = atField
+	case b == '\r':
+		r.position = atFieldEnd
+	case b < ' ' && b != '\t', b == del:
+		return &MalformedError{Reason: "byte " + strconv.QuoteRune(rune(b)) + " in the value of a field"}
+	}
+	return nil
 }
 
 // endHead ends a head; that of an interim response is followed by another one.
--- a/internal/stricthttp/reader_test.go
+++ b/internal/stricthttp/reader_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // malformedHeads are responses of which net/http reads some otherwise than their sender may
@@ -25,6 +27,21 @@
 	"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 	"HTTP/2.0 200 OK\r\n\r\n",
 	"\r\nHTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n X-Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Even: 1\r\n X-Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Even: 1\r\n\tX-Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Even: 1\r\n \r\nX-Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\xc3Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: \x01\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: \x7f\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: 1\r2\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n\rX-Odd: 1\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n\r\n",
 }
 
@@ -111,7 +128,7 @@
 }
 
 // Guards against bytes for which the reader and net/http disagree on where the head ends, or
-// that net/http takes for a response with an impossible status.
+// that net/http takes for a response with an impossible status or field name.
 func FuzzReader(f *testing.F) {
 	for _, text := range append(malformedHeads, soundHeads...) {
 		f.Add([]byte(text))
@@ -124,5 +141,10 @@
 		if !reader.HeadRead(onlyHead) || response.StatusCode > 599 {
 			t.Errorf("status %d, head read %v", response.StatusCode, reader.HeadRead(onlyHead))
 		}
+		for name := range response.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Errorf("field %q", name)
+			}
+		}
 	})
 }
--- a/internal/stricthttp/stricthttptest/malformed.go
+++ b/internal/stricthttp/stricthttptest/malformed.go
@@ -20,6 +20,15 @@
 	return "HTTP/1.1 " + status + "\r\n" + r.Fields + "Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n\r\n" + r.Body
 }
 
+func (r Response) withLine(line string) string {
+	r.Fields += line + "\r\n"
+	return r.Sound()
+}
+
+func (r Response) withoutLength(line string) string {
+	return "HTTP/1.1 200 OK\r\n" + r.Fields + line + "\r\n\r\n" + r.Body
+}
+
 // MalformedStatus returns the response with impossible statuses, by what is malformed.
 func (r Response) MalformedStatus() map[string]string {
 	noBody := strings.TrimSuffix(r.Sound(), r.Body)
@@ -37,3 +46,24 @@
 		"status of an upgrade":          r.withStatus("101 Switching Protocols"),
 	}
 }
+
+// MalformedNames returns the response with impossible names of fields in its head, by what is
+// malformed.
+func (r Response) MalformedNames() map[string]string {
+	return map[string]string{
+		"blank in a name":           r.withLine("X Odd: 1"),
+		"blank before the colon":    r.withLine("X-Odd : 1"),
+		"blank before a name":       r.withLine(" X-Odd: 1"),
+		"tab before a name":         r.withLine("\tX-Odd: 1"),
+		"tab in a name":             r.withLine("X\tOdd: 1"),
+		"control byte in a name":    r.withLine("X\x01Odd: 1"),
+		"NUL in a name":             r.withLine("X\x00Odd: 1"),
+		"DEL in a name":             r.withLine("X\x7fOdd: 1"),
+		"carriage return in a name": r.withLine("X\rOdd: 1"),
+		"no name":                   r.withLine(": 1"),
+		"blank in a length's name":  r.withoutLength("Content-Length : 9"),
+		"blank in a coding's name":  r.withoutLength("Transfer-Encoding : chunked"),
+		"name in an interim head":   "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + r.Sound(),
+		"blank in an interim head":  "HTTP/1.1 103 Early Hints\r\nLink: a\r\n X-Odd: 1\r\n\r\n" + r.Sound(),
+	}
+}
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -109,3 +109,9 @@
 func TestAnswerWithMalformedStatus(t *testing.T) {
 	testMalformedHead(t, stricthttptest.Response.MalformedStatus)
 }
+
+// Guards against an answer with an impossible name of a field that reaches the caller, with
+// another body than the worker's where the field was to bound it (check MIXED).
+func TestAnswerWithMalformedName(t *testing.T) {
+	testMalformedHead(t, stricthttptest.Response.MalformedNames)
+}
