An answer with a malformed trailer is broken off

Callers of a gateway got a chunked answer as complete although a line with a blank in its name followed the body.

Cause: net/textproto reads trailers as leniently as heads, and nobody looked at them.

Change: the end of a body checks the names in its trailer. Such an answer is incomplete: 502, another upstream for a safe request, and a stream, whose events have been forwarded by then, ends as broken off. Trailers are still not forwarded. A control byte there was rejected before; its test stays.

--- a/internal/stricthttp/stricthttptest/malformed.go
+++ b/internal/stricthttp/stricthttptest/malformed.go
@@ -2,6 +2,7 @@
 package stricthttptest
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -29,6 +30,15 @@
 	return "HTTP/1.1 200 OK\r\n" + r.Fields + line + "\r\n\r\n" + r.Body
 }
 
+func (r Response) chunked(trailer string) string {
+	return r.withoutBody("Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(r.Body), r.Body, trailer)
+}
+
+func (r Response) withoutBody(line string) string {
+	r.Body = ""
+	return r.withoutLength(line)
+}
+
 // MalformedStatus returns the response with impossible statuses, by what is malformed.
 func (r Response) MalformedStatus() map[string]string {
 	noBody := strings.TrimSuffix(r.Sound(), r.Body)
@@ -67,3 +77,12 @@
 		"blank in an interim head":  "HTTP/1.1 103 Early Hints\r\nLink: a\r\n X-Odd: 1\r\n\r\n" + r.Sound(),
 	}
 }
+
+// MalformedTrailers returns the response with impossible names of fields after its body, by what
+// is malformed.
+func (r Response) MalformedTrailers() map[string]string {
+	return map[string]string{
+		"blank in a trailer's name":        r.chunked("X Odd: 1"),
+		"control byte in a trailer's name": r.chunked("X\x01Odd: 1"),
+	}
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -288,13 +288,18 @@
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body, and an
-// IncompleteResponseError if the connection ended before.
+// IncompleteResponseError if the connection ended before or a malformed trailer follows.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.head.Body.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		r.complete = true
-	case err != nil:
+	if errors.Is(err, io.EOF) {
+		malformed := stricthttp.CheckTrailer(r.head.Trailer)
+		if malformed == nil {
+			r.complete = true
+			return n, err
+		}
+		err = malformed
+	}
+	if err != nil {
 		err = &IncompleteResponseError{HeaderReceived: true, Cause: err}
 	}
 	return n, err
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -113,3 +113,18 @@
 func TestAnswerWithMalformedName(t *testing.T) {
 	testMalformedHead(t, stricthttptest.Response.MalformedNames)
 }
+
+// Guards against an answer that counts as complete although a malformed field follows its
+// body. The events of a stream have been forwarded by then, so it ends as broken off.
+func TestAnswerWithMalformedTrailer(t *testing.T) {
+	variants := stricthttptest.Response.MalformedTrailers
+	t.Run("once", func(t *testing.T) { (&malformedVariants{of: variants}).testOnce(t) })
+	t.Run("safe", func(t *testing.T) { (&malformedVariants{of: variants}).testSafe(t) })
+	t.Run("stream", func(t *testing.T) {
+		(&malformedVariants{of: variants}).testStream(t, func(t *testing.T, got response) {
+			if got.status != http.StatusBadGateway && !got.truncated {
+				t.Errorf("status %d, complete, body %q", got.status, got.body)
+			}
+		})
+	})
+}
