A malformed answer does not count as a crash of its worker

A worker in trouble that answered one request three times with bytes that are no answer (a status 000, a length that is no number, a head without end, any other bytes) made the host refuse this request for a minute with "request crashes upstreams", also after the worker had recovered; with a shared segment of prompts, all requests that share it.

Cause: whatever ended a response early was recorded as a lost run, from which crashes are concluded. A worker that sends a malformed answer has not lost its connection.

Change: a malformed head or trailer is the typed cause of the error (MalformedResponseError). It counts as a failed run that may have run, and its worker is avoided like one whose connection was lost (OutcomeMalformed), but not as a crash. Answers that end early still do.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -300,7 +300,8 @@
 	return d.handleLostAnswer(id, err)
 }
 
-// handleLostAnswer decides what follows a send whose connection ended before the answer.
+// handleLostAnswer decides what follows a send without an answer: its connection ended, or what
+// came is no answer.
 func (d *dispatcher) handleLostAnswer(id string, err error) (bool, *refusal) {
 	if d.ctx.Err() != nil {
 		d.gateway.slots.recordLost(d)
@@ -311,9 +312,20 @@
 	}
 	d.gateway.connections.CloseIdle(id)
 	d.log("Answer lost.", id, err)
+	if !isConnectionLoss(err) {
+		return d.handleLostRun(id, "answer not understood", OutcomeMalformed)
+	}
 	return d.handleLostRun(id, "answer lost", OutcomeConnectionLost)
 }
 
+// isConnectionLoss reports whether a response ended because its connection was lost, as by a
+// crash of the upstream. One that sends a malformed response has not crashed.
+func isConnectionLoss(err error) bool {
+	var incomplete *upstream.IncompleteResponseError
+	var malformed *upstream.MalformedResponseError
+	return errors.As(err, &incomplete) && !errors.As(err, &malformed)
+}
+
 // isCancelledRun reports whether the current run was cancelled because the request is
 // quarantined.
 func (d *dispatcher) isCancelledRun() bool {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -7,7 +7,7 @@
 
 const (
 	// minBackoff is the time for which an upstream is avoided after its connection
-	// broke or could not be opened; it doubles with each further such failure up to
+	// broke or could not be opened, or a malformed response; it doubles with each further such failure up to
 	// maxBackoff. Error responses only raise the failure rate.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
@@ -46,7 +46,7 @@
 	switch outcome {
 	case OutcomeSuccess:
 		h.backoff, h.backoffUntil, h.unreachable = 0, time.Time{}, false
-	case OutcomeUnreachable, OutcomeConnectionLost:
+	case OutcomeUnreachable, OutcomeConnectionLost, OutcomeMalformed:
 		h.unreachable = outcome == OutcomeUnreachable
 		h.backoff = min(max(2*h.backoff, minBackoff), maxBackoff)
 		h.backoffUntil = time.Now().Add(h.backoff)
@@ -63,6 +63,7 @@
 	OutcomeFailed                 // an error response or an incomplete one
 	OutcomeConnectionLost         // the connection broke during the request
 	OutcomeUnreachable            // the connection could not be opened
+	OutcomeMalformed              // bytes that are no response
 )
 
 // Unreachable returns the upstreams that this host recently failed to connect to.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,8 +49,7 @@
 			return d.handleHeldBack(id, err)
 		}
 		d.log("Answer broken off.", id, err)
-		var incomplete *upstream.IncompleteResponseError
-		if errors.As(err, &incomplete) {
+		if isConnectionLoss(err) {
 			d.recordLostRun()
 		}
 		return d.handleLostRun(id, "answer broken off", OutcomeFailed)
@@ -220,8 +219,7 @@
 	}
 	d.log("Stream broken off.", id, err)
 	outcome := OutcomeFailed
-	var incomplete *upstream.IncompleteResponseError
-	if errors.Is(err, io.EOF) || errors.As(err, &incomplete) {
+	if errors.Is(err, io.EOF) || isConnectionLoss(err) {
 		outcome = OutcomeConnectionLost
 	}
 	return d.handleLostRun(id, "stream broken off", outcome)
--- a/internal/gateway/slowstart.go
+++ b/internal/gateway/slowstart.go
@@ -82,7 +82,7 @@
 		default:
 			r.slow.Refused(r.now(), slowIncarnation(entry))
 		}
-	case OutcomeUnreachable, OutcomeConnectionLost:
+	case OutcomeUnreachable, OutcomeConnectionLost, OutcomeMalformed:
 		if entry != nil {
 			r.beginSlowStart(entry, slowstart.Recovered, h.backoff)
 		}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -87,6 +87,16 @@
 	return "the response header has more than " + strconv.Itoa(e.Limit) + " bytes"
 }
 
+// MalformedResponseError is the cause of an IncompleteResponseError if the upstream sent bytes
+// that are no response; it has not lost the connection.
+type MalformedResponseError struct{ Cause error }
+
+// Error implements error.
+func (e *MalformedResponseError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *MalformedResponseError) Unwrap() error { return e.Cause }
+
 // headerLimiter reads from a connection and bounds what is read while a header is due:
 // http.ReadResponse itself reads lines of any length.
 type headerLimiter struct {
@@ -138,10 +148,23 @@
 
 // expectHead makes the connection check the next head, of which a part may be buffered. It
 // returns a stricthttp.MalformedError.
-func (c *conn) expectHead() error {
+func (c *conn) expectHead() (stricthttp.Head, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails, as it reads nothing
-	_, err := c.checked.ExpectHead(buffered)
-	return err
+	return c.checked.ExpectHead(buffered)
+}
+
+// headerError returns the IncompleteResponseError of a header that net/http could not read. Its
+// own error may be about the part before the malformed byte.
+func (c *conn) headerError(head stricthttp.Head, err error) error {
+	switch malformed := c.checked.Err(); {
+	case malformed != nil:
+		err = &MalformedResponseError{Cause: malformed}
+	case c.limiter.left == 0:
+		err = &MalformedResponseError{Cause: &HeaderTooLongError{Limit: maxHeaderBytes}}
+	case c.checked.HeadRead(head):
+		err = &MalformedResponseError{Cause: err}
+	}
+	return &IncompleteResponseError{Cause: err}
 }
 
 // Response is an upstream's response. The caller reads the body and must call Close.
@@ -237,13 +260,14 @@
 func (r *Response) readHeader() error {
 	r.conn.limiter.left = maxHeaderBytes
 	defer func() { r.conn.limiter.left = -1 }()
-	if err := r.conn.expectHead(); err != nil {
-		return &IncompleteResponseError{Cause: err}
+	head, err := r.conn.expectHead()
+	if err != nil {
+		return r.conn.headerError(head, err)
 	}
 	for {
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: r.method})
 		if err != nil {
-			return &IncompleteResponseError{Cause: err}
+			return r.conn.headerError(head, err)
 		}
 		if response.StatusCode >= 200 {
 			r.head = response
@@ -297,7 +321,7 @@
 			r.complete = true
 			return n, err
 		}
-		err = malformed
+		err = &MalformedResponseError{Cause: malformed}
 	}
 	if err != nil {
 		err = &IncompleteResponseError{HeaderReceived: true, Cause: err}
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
 )
@@ -128,3 +129,35 @@
 		})
 	})
 }
+
+// apartCrashes is a time after which a lost run counts as a further crash.
+const apartCrashes = 2200 * time.Millisecond
+
+// Guards against a sound request that is refused for a minute because a worker in trouble
+// answered it with bytes that are no answer: such a worker has not crashed (check LOST).
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	for name, malformed := range map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\n\r\n", "blank in a name": "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", "no status line": "odd\r\n\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: odd\r\n\r\n", "long head": "HTTP/1.1 200 OK\r\nX-Odd: " + strings.Repeat("odd", 40<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			var recovered atomic.Bool
+			f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+				if recovered.Load() {
+					_, _ = io.WriteString(conn, answerHeader(request)+"\r\nContent-Length: 5\r\n\r\nsound")
+					return
+				}
+				_, _ = io.WriteString(conn, malformed)
+			})
+			for i := range 3 {
+				checkNotAnswered(t, f.send(0, http.MethodPost, "/lookup/1", fmt.Sprintf("odd-%d", i), "lot"))
+				time.Sleep(apartCrashes)
+			}
+			recovered.Store(true)
+			if got := f.send(0, http.MethodPost, "/lookup/1", "even", "lot"); got.status != http.StatusOK {
+				t.Errorf("status %d, body %q, after the worker has recovered", got.status, got.body)
+			}
+		})
+	}
+}
