Interim responses without end are rejected

A worker that sent interim heads without end made a host, gateway or serve, take more than its memory (up to 68 MB of 64 with 120 callers): each of the heads costs little, up to 64 KiB of them per request, but net/http allocates some kilobytes for each.

Change: stricthttp.Reader takes a 17th interim head for malformed.

TestAnswersWithoutEndAtGateway has real processes of 64 MB whose callers ask upstreams that answer without end in ten ways (head, interim heads, body with and without a length, chunks, one chunk, trailer, event, refusal, any bytes); the others were already handled, their tests stay.

--- a/internal/stricthttp/reader.go
+++ b/internal/stricthttp/reader.go
@@ -38,6 +38,10 @@
 
 const del = 0x7f // ASCII DEL, a control byte
 
+// maxInterim bounds the interim responses before a response: net/http allocates some kilobytes
+// for each.
+const maxInterim = 16
+
 // statusLine matches the begin of a status line.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])[ \r]?$`)
 
@@ -52,6 +56,7 @@
 	position position
 	start    []byte // of the status line, up to maxStartBytes
 	interim  bool   // the current head is that of an interim response
+	interims int    // interim heads since the last final one
 	expected Head
 	read     Head  // the last one that was read completely
 	err      error // ends all further reads
@@ -72,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expected++
-	r.position, r.start = inStatusLine, r.start[:0]
+	r.position, r.start, r.interims = inStatusLine, r.start[:0], 0
 	r.check(buffered)
 	return r.expected, r.err
 }
@@ -204,7 +209,12 @@
 	if match == nil || string(match[1]) == switchingProtocols {
 		return &MalformedError{Reason: "status line begins with " + strconv.Quote(string(r.start))}
 	}
-	r.interim = match[1][0] == '1'
-	r.position = atField
+	r.position, r.interim = atField, match[1][0] == '1'
+	if r.interim {
+		r.interims++
+	}
+	if r.interims > maxInterim {
+		return &MalformedError{Reason: "more than " + strconv.Itoa(maxInterim) + " interim responses"}
+	}
 	return nil
 }
--- a/internal/stricthttp/reader_test.go
+++ b/internal/stricthttp/reader_test.go
@@ -45,6 +45,19 @@
 	"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n\r\n",
 }
 
+// interimHead is the head of an interim response.
+const interimHead = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+
+// Guards against interim responses without end, for each of which net/http allocates memory.
+func TestInterimHeads(t *testing.T) {
+	for count, sound := range map[int]bool{maxInterim: true, maxInterim + 1: false} {
+		response, _, err := parse(strings.NewReader(strings.Repeat(interimHead, count) + "HTTP/1.1 200 OK\r\n\r\n"))
+		if (err == nil) != sound {
+			t.Errorf("%d interim heads: response %v, error %v", count, response, err)
+		}
+	}
+}
+
 // soundHeads are responses that net/http must get unchanged.
 var soundHeads = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
--- a/tests/crowd/process_test.go
+++ b/tests/crowd/process_test.go
@@ -110,6 +110,12 @@
 
 // startGateway starts a gateway host with a store and a worker that it can use.
 func startGateway(t *testing.T) *program {
+	t.Helper()
+	return startGatewayWith(t, func(*platformtest.Store) {})
+}
+
+// startGatewayWith is startGateway with more in the store.
+func startGatewayWith(t *testing.T, add func(*platformtest.Store)) *program {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
@@ -127,6 +133,7 @@
 		"services": []any{map[string]any{"name": "ledger", "maxConns": 2000}},
 		"limits":   map[string]any{"bodyBytes": bodyLimit, "headerBytes": 64 << 10, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
 	})
+	add(store)
 	p := &program{t: t, address: freeAddress(t)}
 	p.head = func(id int, large bool) string {
 		path := "/small"
--- /dev/null
+++ b/tests/crowd/unending_test.go
@@ -0,0 +1,143 @@
+package crowd
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusbank/arbutusbank/platform/platformtest"
+)
+
+const (
+	// unendingTime is how long callers send requests to upstreams that answer without end.
+	unendingTime = 3 * time.Second
+	// unendingCallers is the number of these callers.
+	unendingCallers = 120
+)
+
+// unendingAnswers are the begins of answers, formats for the request's ID, and what follows them
+// without end.
+var unendingAnswers = map[string]struct{ start, repeated string }{
+	"Bytes":   {"", "filler "},
+	"Head":    {"HTTP/1.1 200 OK\r\nRequest-Id: %[1]s\r\nX-Request-Id: %[1]s\r\nX-Long: ", "filler "},
+	"Interim": {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+	"Body":    {unendingHead + "\r\n", "filler "},
+	"Length":  {unendingHead + "Content-Length: 1000000000000\r\n\r\n", "filler "},
+	"Chunks":  {unendingHead + "Transfer-Encoding: chunked\r\n\r\n", "7\r\nfiller \r\n"},
+	"Chunk":   {unendingHead + "Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "filler "},
+	"Trailer": {unendingHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", "filler "},
+	"Event":   {unendingHead + "Content-Type: text/event-stream\r\n\r\ndata: ", "filler "},
+	"Refusal": {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: %[1]s\r\nX-Request-Id: %[1]s\r\n\r\n", "filler "},
+}
+
+const unendingHead = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nRequest-Id: %[1]s\r\nX-Request-Id: %[1]s\r\n"
+
+// answerWithoutEnd sends an answer until the host closes the connection.
+func answerWithoutEnd(w http.ResponseWriter, r *http.Request, name string) {
+	_, _ = io.Copy(io.Discard, r.Body) // the write fails if the host has disconnected
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	answer := unendingAnswers[name]
+	start := strings.ReplaceAll(answer.start, "%[1]s", r.Header.Get("Request-Id")+r.Header.Get("X-Request-Id"))
+	block := []byte(strings.Repeat(answer.repeated, 1<<10))
+	_, err = io.WriteString(conn, start)
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
+// upstreamWithoutEnd starts an upstream and returns its address. Control calls go to an engine
+// if there is one.
+func upstreamWithoutEnd(t *testing.T, name, engine string) string {
+	t.Helper()
+	control := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: engine})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if engine != "" && strings.HasPrefix(r.URL.Path, "/control/") {
+			control.ServeHTTP(w, r)
+			return
+		}
+		answerWithoutEnd(w, r, name)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// askForUnending has callers send requests until unendingTime has passed, and checks meanwhile
+// and afterwards what the process takes and that other requests are served.
+func (p *program) askForUnending(request func(id int) string) {
+	p.t.Helper()
+	end := time.Now().Add(unendingTime)
+	var callers sync.WaitGroup
+	for range unendingCallers {
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				conn, err := net.Dial("tcp", p.address)
+				if err != nil {
+					return
+				}
+				_ = conn.SetDeadline(end.Add(serveTimeout)) // a TCP connection supports it
+				_, _ = io.WriteString(conn, request(int(p.requests.Add(1))))
+				_, _ = io.Copy(io.Discard, conn) // whatever the answer is
+				_ = conn.Close()
+			}
+		})
+	}
+	time.Sleep(unendingTime / 2)
+	p.checkServed("beside answers without end", false)
+	p.checkResources("beside answers without end")
+	callers.Wait()
+	p.checkServed("after answers without end", false)
+	p.checkResources("after answers without end")
+}
+
+// Guards against upstreams that answer without end, in a head or a body, until the process runs
+// out of memory and the requests of other callers end with it: requests at the gateway.
+func TestAnswersWithoutEndAtGateway(t *testing.T) {
+	for name := range unendingAnswers {
+		t.Run(name, func(t *testing.T) {
+			p := startGatewayWith(t, func(store *platformtest.Store) {
+				store.Set("servers", "odd-1", map[string]any{
+					"service": "odd", "address": upstreamWithoutEnd(t, name, ""), "zone": "z1", "version": "v1", "slots": 1000, "state": "ready",
+					"coldLeftMs": 0, "models": []any{}, "seq": 1, "born": 1, "available": map[string]any{"onDisk": []string{}, "inMemory": []string{}},
+				})
+				store.Set("op", "config", gatewayConfig(
+					gatewayRoute("odd", "/odd/", "safe"), gatewayRoute("ledger", "/", "unsafe"),
+				))
+			})
+			p.askForUnending(func(id int) string {
+				return fmt.Sprintf("POST /odd/%d HTTP/1.1\r\nHost: seed.example\r\nRequest-Id: o%d\r\nConnection: close\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n", id, id)
+			})
+		})
+	}
+}
+
+func gatewayRoute(service, prefix, kind string) map[string]any {
+	return map[string]any{
+		"name": service, "host": "seed.example", "prefix": prefix, "kind": kind, "timeoutMs": 60000, "sloMs": 500, "service": service,
+		"attempts": 1, "public": true, "priority": 1,
+	}
+}
+
+// gatewayConfig is a configuration with routes to services of the same names.
+func gatewayConfig(routes ...map[string]any) map[string]any {
+	var all, services []any
+	for _, route := range routes {
+		all = append(all, route)
+		services = append(services, map[string]any{"name": route["service"], "maxConns": 2000})
+	}
+	return map[string]any{
+		"version": 2, "routes": all, "services": services,
+		"limits": map[string]any{"bodyBytes": bodyLimit, "headerBytes": 64 << 10, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
+	}
+}
