--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -32,7 +32,7 @@
 	idleControlConns = 4
 	idleConnTimeout  = 30 * time.Second
 	maxControlBytes  = 8 << 20
-	maxRefusalBytes  = 64 << 10
+	maxRefusalBytes  = 8 << 10
 	callBufferBytes  = 8 << 10
 )
 
