Long events of engines take memory that is reserved

Engines that sent one event without end made a host of arbutusbank serve take 120 MB of 64 with 120 callers at 16 engines: each run kept up to 1 MiB of the event and the garbage of its growth beside the memory that is divided among responses.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -35,7 +35,7 @@
 	response *http.Response
 	cancel   context.CancelFunc
 	reader   *bufio.Reader // nil for unary responses
-	longLine []byte        // buffer for lines longer than the reader's buffer
+	longLine *lineBuffer   // nil until a line is longer than the reader's buffer
 	unary    bool
 	complete bool // the complete response was read
 	atEOF    bool // the HTTP body was read to its end
@@ -132,15 +132,20 @@
 	if !errors.Is(err, bufio.ErrBufferFull) {
 		return line, err
 	}
-	s.longLine = append(s.longLine[:0], line...)
+	if s.longLine == nil {
+		s.longLine = newLineBuffer(s.response.Request.Context())
+	}
+	s.longLine.reset()
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(s.longLine) > maxEventBytes {
-			return nil, &ProtocolError{Detail: "event too large"}
+		if full := s.longLine.append(line); full != nil {
+			return nil, full
 		}
 		line, err = s.reader.ReadSlice('\n')
-		s.longLine = append(s.longLine, line...)
 	}
-	return s.longLine, err
+	if full := s.longLine.append(line); full != nil {
+		return nil, full
+	}
+	return s.longLine.data, err
 }
 
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, since Next returns io.EOF
@@ -161,6 +166,9 @@
 	}
 	s.response.Body.Close()
 	s.cancel()
+	if s.longLine != nil {
+		s.longLine.free()
+	}
 	if s.reader != nil {
 		s.reader.Reset(nil)
 		readerPool.Put(s.reader)
--- a/tests/crowd/process_test.go
+++ b/tests/crowd/process_test.go
@@ -189,6 +189,12 @@
 
 // startServe starts a host of the program's own interface, with a fleet around it.
 func startServe(t *testing.T) *program {
+	t.Helper()
+	p, _ := startServeInFleet(t)
+	return p
+}
+
+func startServeInFleet(t *testing.T) (*program, *fleet.Fleet) {
 	t.Helper()
 	p := &program{t: t, largeBody: bodyLimit - 1}
 	shape := deployment.SeedOffice()
@@ -214,7 +220,7 @@
 	p.head = func(int, bool) string {
 		return "POST /services/drawer-ledger/withdrawals HTTP/1.1\r\nHost: seed.example\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer " + key + "\r\n"
 	}
-	return p
+	return p, started
 }
 
 func freeAddress(t *testing.T) string {
--- a/tests/crowd/unending_test.go
+++ b/tests/crowd/unending_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusbank/arbutusbank/internal/deployment"
+	"github.com/arbutusbank/arbutusbank/internal/platform"
 	"github.com/arbutusbank/arbutusbank/platform/platformtest"
 )
 
@@ -21,6 +23,8 @@
 	unendingTime = 3 * time.Second
 	// unendingCallers is the number of these callers.
 	unendingCallers = 120
+	// unendingEngines is the number of engines whose answers have no end.
+	unendingEngines = 16
 )
 
 // unendingAnswers are the begins of answers, formats for the request's ID, and what follows them
@@ -141,3 +145,39 @@
 		"limits": map[string]any{"bodyBytes": bodyLimit, "headerBytes": 64 << 10, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
 	}
 }
+
+// Guards against the same at the other program: inference calls.
+func TestAnswersWithoutEndAtServe(t *testing.T) {
+	for name := range unendingAnswers {
+		t.Run(name, func(t *testing.T) { testEngineWithoutEnd(t, name) })
+	}
+}
+
+func testEngineWithoutEnd(t *testing.T, name string) {
+	p, f := startServeInFleet(t)
+	shape := deployment.SeedOffice()
+	entry := func(address, kind, service, state string) platform.HostEntry {
+		return platform.HostEntry{Address: address, Kind: kind, Service: service, DataCenter: shape.DataCenters[0], State: state}
+	}
+	engine := f.Engines[0].Address()
+	list := []platform.HostEntry{
+		entry(f.Services[0].Address(), platform.KindService, shape.PlainService, platform.StateLive),
+		entry(engine, platform.KindEngine, shape.EngineService, platform.StateLeaving),
+		entry(p.address, platform.KindEntry, "", platform.StateLive),
+	}
+	for range unendingEngines {
+		list = append(list, entry(upstreamWithoutEnd(t, name, engine), platform.KindEngine, shape.EngineService, platform.StateLive))
+	}
+	f.Platform.SetHosts(list)
+	time.Sleep(hostListTime)
+	population := f.Population()
+	key, model := population.Workspaces["curators"].Key, population.Models[0]
+	p.askForUnending(func(id int) string {
+		body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":4,"messages":[{"role":"user","content":"%d"}]}`, model, id)
+		return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+			key, len(body), body)
+	})
+}
+
+// hostListTime is the time in which hosts follow a changed host list.
+const hostListTime = 3 * time.Second
