Long answers to control calls are read one at a time

The part up to the limit was then taken for the whole body.

Change: transport.BodyReader reads up to 64 KiB of each body, and of longer ones one at a time, in segments; a body beyond the limit is an error, so that the outcome of an order is unknown. A worker in trouble can make only other long reports wait, until its call's time-out.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -36,6 +36,9 @@
 	callBufferBytes  = 8 << 10
 )
 
+// controlBodies reads the responses of all engines to control calls.
+var controlBodies = transport.NewBodyReader()
+
 // CancelRequest is the body of a cancel call.
 type CancelRequest struct {
 	RequestID string `json:"request_id"`
@@ -149,7 +152,7 @@
 		return nil, eris.Wrap(classifyFailure(c.control, err, tracked), path)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	data, err := controlBodies.Read(ctx, response, maxControlBytes)
 	if err != nil {
 		return nil, eris.Wrap(classifyFailure(c.control, err, tracked), path)
 	}
--- a/tests/crowd/unending_test.go
+++ b/tests/crowd/unending_test.go
@@ -126,6 +126,32 @@
 	}
 }
 
+// Guards against the same in answers to calls of control: reports of engines.
+func TestReportsWithoutEndAtGateway(t *testing.T) {
+	for _, name := range []string{"Head", "Body", "Chunks"} {
+		t.Run(name, func(t *testing.T) {
+			p := startGatewayWith(t, func(store *platformtest.Store) {
+				address := upstreamWithoutEnd(t, name, "")
+				for i := range unendingEngines {
+					store.Set("servers", fmt.Sprintf("odd-%d", i), map[string]any{
+						"service": "odd", "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+						"coldLeftMs": 0, "models": []any{}, "seq": 1, "born": 1, "available": map[string]any{"onDisk": []string{}, "inMemory": []string{}},
+					})
+				}
+				config := gatewayConfig(gatewayRoute("odd", "/odd/", "streaming"), gatewayRoute("ledger", "/", "unsafe"))
+				models := []map[string]any{{"name": "m1", "weightsMb": 30000, "loadS": 0.1, "adapters": 0, "adapterMb": 40, "warmS": 0.05, "diskS": 0.05}}
+				config["services"].([]any)[0].(map[string]any)["engine"] = map[string]any{
+					"slots": 8, "kvCapacity": 90000, "models": models, "weightsMb": 200000, "adapterSlots": 4, "loadsPerS": 6,
+				}
+				store.Set("op", "config", config)
+			})
+			p.askForUnending(func(id int) string {
+				return fmt.Sprintf("POST /odd/%d HTTP/1.1\r\nHost: seed.example\r\nRequest-Id: o%d\r\nModel: m1\r\nToken-Count: 100,20\r\nConnection: close\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n", id, id)
+			})
+		})
+	}
+}
+
 func gatewayRoute(service, prefix, kind string) map[string]any {
 	return map[string]any{
 		"name": service, "host": "seed.example", "prefix": prefix, "kind": kind, "timeoutMs": 60000, "sloMs": 500, "service": service,
@@ -146,14 +172,17 @@
 	}
 }
 
-// Guards against the same at the other program: inference calls.
+// Guards against the same at the other program: inference calls, and reports.
 func TestAnswersWithoutEndAtServe(t *testing.T) {
 	for name := range unendingAnswers {
-		t.Run(name, func(t *testing.T) { testEngineWithoutEnd(t, name) })
+		t.Run(name, func(t *testing.T) { testEngineWithoutEnd(t, name, true) })
+	}
+	for _, name := range []string{"Head", "Body", "Chunks"} {
+		t.Run("Reports/"+name, func(t *testing.T) { testEngineWithoutEnd(t, name, false) })
 	}
 }
 
-func testEngineWithoutEnd(t *testing.T, name string) {
+func testEngineWithoutEnd(t *testing.T, name string, soundReports bool) {
 	p, f := startServeInFleet(t)
 	shape := deployment.SeedOffice()
 	entry := func(address, kind, service, state string) platform.HostEntry {
@@ -165,8 +194,12 @@
 		entry(engine, platform.KindEngine, shape.EngineService, platform.StateLeaving),
 		entry(p.address, platform.KindEntry, "", platform.StateLive),
 	}
+	control := ""
+	if soundReports {
+		control = engine
+	}
 	for range unendingEngines {
-		list = append(list, entry(upstreamWithoutEnd(t, name, engine), platform.KindEngine, shape.EngineService, platform.StateLive))
+		list = append(list, entry(upstreamWithoutEnd(t, name, control), platform.KindEngine, shape.EngineService, platform.StateLive))
 	}
 	f.Platform.SetHosts(list)
 	time.Sleep(hostListTime)
