An answer with an impossible length does not panic

Change: the length is compared before one is added. Such an answer ends early: 502.

Measured: TestAnswerWithImpossibleLength panics without this change and passes with it.

--- a/internal/intake/exchange.go
+++ b/internal/intake/exchange.go
@@ -313,8 +313,8 @@
 		}
 		size = min(2*cap(last), lastSegment)
 	}
-	if left := expected - b.size; expected >= 0 && left >= 0 {
-		size = int(min(int64(size), left+1)) // one byte more to see the end
+	if left := expected - b.size; expected >= 0 && left >= 0 && left < int64(size) {
+		size = int(left) + 1 // one byte more to see the end
 	}
 	if err := b.Reserve(ctx, int64(size)); err != nil {
 		return nil, err
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -161,3 +161,14 @@
 		})
 	}
 }
+
+// Guards against an impossible length that makes the handler panic, so that the caller's
+// connection is closed without an answer (check LOST).
+func TestAnswerWithImpossibleLength(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		_, _ = io.WriteString(conn, answerHeader(request)+"\r\nContent-Length: 9223372036854775807\r\n\r\nshort")
+		_ = conn.Close()
+	})
+	checkNotAnswered(t, f.send(0, http.MethodPost, "/withdraw/1", "long", "lot"))
+}
