--- a/internal/stricthttp/stricthttptest/malformed.go
+++ b/internal/stricthttp/stricthttptest/malformed.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"strconv"
-	"strings"
 )
 
 // Response is a response that a stand-in sends.
@@ -50,14 +49,12 @@
 
 // MalformedStatus returns the response with impossible statuses, by what is malformed.
 func (r Response) MalformedStatus() map[string]string {
-	noBody := strings.TrimSuffix(r.Sound(), r.Body)
 	return map[string]string{
 		"status 000":                    r.withStatus("000 None"),
 		"status 000, no body":           "HTTP/1.1 000 None\r\n" + r.Fields + "Content-Length: 0\r\n\r\n",
 		"status 000, an answer as body": "HTTP/1.1 000 None\r\n" + r.Fields + "\r\n" + r.Sound(),
 		"status 000 before an answer":   "HTTP/1.1 000 None\r\n\r\n" + r.Sound(),
 		"status 000 in an interim head": "HTTP/1.1 103 Early Hints\r\n\r\n" + r.withStatus("000 None"),
-		"status 000 and a refusal":      strings.Replace(noBody, "200 OK", "000 Full\r\nNot-Executed: 1", 1) + r.Body,
 		"status 099":                    r.withStatus("099 Low"),
 		"status 600":                    r.withStatus("600 High"),
 		"status 999":                    r.withStatus("999 High"),
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// Guards against believing a malformed refusal: the caller would be told that the request has not
+// run (check REFUSED), or it would be sent again.
+func TestMalformedRefusal(t *testing.T) {
+	for name, head := range map[string]string{
+		"status": "HTTP/1.1 000 Full\r\n", "name": "HTTP/1.1 503 Full\r\nX Odd: 1\r\n", "folded line": "HTTP/1.1 503 Full\r\nX-Even: 1\r\n X-Odd: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { testMalformedRefusal(t, head) })
+	}
+}
+
+func testMalformedRefusal(t *testing.T, head string) {
+	f := newTestFleet(t, 1)
+	w := f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "%sRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", head, request.Header.Get("Request-Id"))
+	})
+	checkNotAnswered(t, f.send(0, http.MethodPost, "/withdraw/1", "refused", "lot"))
+	if runs := len(w.runsSoFar()); runs != 1 {
+		t.Errorf("sent %d times", runs)
+	}
+}
+
 // Guards against an impossible length that makes the handler panic, so that the caller's
 // connection is closed without an answer (check LOST).
 func TestAnswerWithImpossibleLength(t *testing.T) {
