--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -7,8 +7,8 @@
 
 const (
 	// minBackoff is the time for which an upstream is avoided after its connection
-	// broke or could not be opened, or a malformed response; it doubles with each further such failure up to
-	// maxBackoff. Error responses only raise the failure rate.
+	// broke or could not be opened, or after a malformed response; it doubles with each
+	// further such failure up to maxBackoff. Error responses only raise the failure rate.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
 	// missingModelBackoff is how long requests for a model or adapter are not sent to
--- a/internal/stricthttp/reader.go
+++ b/internal/stricthttp/reader.go
@@ -32,8 +32,8 @@
 	atHeadEnd  // after the carriage return of an empty line
 )
 
-// maxStartBytes is the length of the begin of a status line that is checked: version, status and
-// the blank or line break after it.
+// maxStartBytes is the length of the part of a status line that is checked: the version, the status
+// and the byte after it.
 const maxStartBytes = len("HTTP/1.1 200 ")
 
 const del = 0x7f // ASCII DEL, a control byte
@@ -42,7 +42,7 @@
 // for each.
 const maxInterim = 16
 
-// statusLine matches the begin of a status line.
+// statusLine matches the first maxStartBytes bytes of a status line.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])[ \r]?$`)
 
 var switchingProtocols = strconv.Itoa(http.StatusSwitchingProtocols)
@@ -54,7 +54,7 @@
 
 	mu       sync.Mutex
 	position position
-	start    []byte // of the status line, up to maxStartBytes
+	start    []byte // first bytes of the status line, up to maxStartBytes
 	interim  bool   // the current head is that of an interim response
 	interims int    // interim heads since the last final one
 	expected Head
@@ -202,7 +202,7 @@
 	r.position, r.read = inBody, r.expected
 }
 
-// endStatusLine checks the begin of the status line. Switching the protocol is malformed, as
+// endStatusLine checks the start of the status line. Switching the protocol is malformed, as
 // no request asks for it.
 func (r *Reader) endStatusLine() error {
 	match := statusLine.FindSubmatch(r.start)
