--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// Guards against the same for a body whose chunks are malformed. Red: see KNOWN-RED.txt.
+func TestMalformedBodyIsNoCrash(t *testing.T) {
+	f := newTestFleet(t, 1)
+	var recovered atomic.Bool
+	f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		framed := "\r\nTransfer-Encoding: chunked\r\n\r\nodd\r\nodd\r\n"
+		if recovered.Load() {
+			framed = "\r\nContent-Length: 5\r\n\r\nsound"
+		}
+		_, _ = io.WriteString(conn, answerHeader(request)+framed)
+	})
+	for i := range 3 {
+		checkNotAnswered(t, f.send(0, http.MethodPost, "/lookup/1", fmt.Sprintf("odd-%d", i), "lot"))
+		time.Sleep(apartCrashes)
+	}
+	recovered.Store(true)
+	if got := f.send(0, http.MethodPost, "/lookup/1", "even", "lot"); got.status != http.StatusOK {
+		t.Errorf("status %d, body %q, after the worker has recovered", got.status, got.body)
+	}
+}
+
 // Guards against believing a malformed refusal: the caller would be told that the request has not
 // run (check REFUSED), or it would be sent again.
 func TestMalformedRefusal(t *testing.T) {
