quota: a request is not refused while a slot becomes active

Cause: Limiter.feasible read the rate twice, once for the sum and once to see whether a slot is active. If a slot became active in between, it took the old rate of 0 as final and refused a request that had seconds left. Change: both decisions use one reading.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -110,7 +110,7 @@
 
 // wait queues a request until it is granted, refused or cancelled.
 func (l *Limiter) wait(ctx context.Context, q *queue, tokens float64, deadline time.Time) (*Reservation, error) {
-	if !l.slotsActive(q.workspace) {
+	if supply, ok := l.supply(q.workspace); ok && !supply.slotsActive() {
 		deadline = earlier(deadline, l.clk.Now().Add(activationTimeout))
 	}
 	entry, err := l.enqueue(q, tokens, deadline)
@@ -172,19 +172,12 @@
 	if horizon <= 0 {
 		return false
 	}
-	if !l.slotsActive(workspace) {
+	if !supply.slotsActive() {
 		return true // a slot may become active at any time; wait has shortened the deadline
 	}
 	return supply.available+supply.rate*horizon.Seconds() >= needed-tokenTolerance
 }
 
-// slotsActive reports whether some host is known to refill the workspace's tokens. It
-// is true for a workspace with a rate of 0, for which waiting is useless.
-func (l *Limiter) slotsActive(workspace string) bool {
-	supply, ok := l.supply(workspace)
-	return !ok || supply.rate > 0 || supply.configuredRate <= 0
-}
-
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
@@ -213,6 +206,10 @@
 	configuredRate float64
 }
 
+// slotsActive reports whether some host is known to refill the workspace's tokens. It
+// is true for a workspace with a rate of 0, for which waiting is useless.
+func (s supply) slotsActive() bool { return s.rate > 0 || s.configuredRate <= 0 }
+
 // supply reports false for a workspace that is not configured.
 func (l *Limiter) supply(workspace string) (supply, bool) {
 	w, ok := l.manager.allowance(workspace)
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -267,14 +268,20 @@
 	}
 }
 
+// singleHostSnapshot returns a configuration in which host "a" is the only one, and
+// workspace "w" has 1,000 tokens/s and a burst of 200 tokens.
+func singleHostSnapshot(t *testing.T) *config.Snapshot {
+	return testSnapshot(t, 1, func(d *config.Document) {
+		delete(d.Hosts, "b")
+		d.Workspaces["w"] = config.Workspace{RateTokensPerS: 1000, BurstTokens: 200}
+	})
+}
+
 // singleHostLimiter returns a Limiter of the only host, without active slots.
 func singleHostLimiter(t *testing.T) (*Limiter, *Manager) {
 	t.Helper()
 	m := NewManager(clock.System{}, "a", 1)
-	m.Apply(testSnapshot(t, 1, func(d *config.Document) {
-		delete(d.Hosts, "b")
-		d.Workspaces["w"] = config.Workspace{RateTokensPerS: 1000, BurstTokens: 200}
-	}))
+	m.Apply(singleHostSnapshot(t))
 	l := NewLimiter(m, &directClient{}, PolicyLoans, prometheus.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	go l.Run(ctx)
@@ -296,6 +303,40 @@
 	r.Settle(5)
 }
 
+// activatingClock calls activate once, at the given reading of the time.
+type activatingClock struct {
+	clock.System
+	activate  func()
+	countdown atomic.Int64 // readings left before the call
+}
+
+func (c *activatingClock) Now() time.Time {
+	if c.countdown.Add(-1) == 0 {
+		c.activate()
+	}
+	return c.System.Now()
+}
+
+// Guards against a refusal that is computed from the rate of before the activation of a
+// slot. This occurred in CI: the slot became active between two readings of the rate.
+func TestSlotBecomesActiveDuringAcquire(t *testing.T) {
+	const readings = 20 // more than Acquire makes before it waits
+	for at := range int64(readings) {
+		clk := &activatingClock{}
+		m := NewManager(clk, "a", 1)
+		m.Apply(singleHostSnapshot(t))
+		clk.activate = m.ActivateConfiguredSlots
+		l := NewLimiter(m, &directClient{}, PolicyLoans, prometheus.NewRegistry())
+		clk.countdown.Store(at + 1)
+		r, err := l.Acquire(t.Context(), "w", 5, time.Now().Add(5*time.Second))
+		if err != nil {
+			t.Fatalf("refused if the slot becomes active at reading %d of the clock: %v", at, err)
+		}
+		r.Settle(5)
+		l.Close(t.Context())
+	}
+}
+
 // Guards against a request that waits until its deadline although no slot becomes
 // active: it must be refused after activationTimeout.
 func TestAcquireWithoutActiveSlotIsRefused(t *testing.T) {
