A malformed body is no lost connection

Seen: a worker whose chunks were malformed counted as crashed: three such answers, and its request was refused for a minute after it had recovered (503 'request crashes upstreams'). Cause: Response.Read took each error of a body for a lost connection, and so a crash. Change: stricthttp.Reader remembers whether its source failed. If it has not, what net/http rejects is malformed; this rule replaces the one for heads. Why it works: net/http reads nothing but the source, so each of its errors is either the source's or about bytes.

--- a/internal/stricthttp/reader.go
+++ b/internal/stricthttp/reader.go
@@ -4,6 +4,7 @@
 package stricthttp
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"regexp"
@@ -60,6 +61,7 @@
 	expected Head
 	read     Head  // the last one that was read completely
 	err      error // ends all further reads
+	failed   bool  // the source returned an error
 }
 
 // Head is the number of a head that a Reader was told to expect.
@@ -98,6 +100,7 @@
 	n, err := r.source.Read(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = r.failed || err != nil
 	if checked := r.check(p[:n]); r.err != nil {
 		return checked, nil
 	}
@@ -123,6 +126,22 @@
 	return r.err
 }
 
+// Cause returns what made the read of a response fail, in which net/http met err: a
+// MalformedError, or err if the source failed. If it has not, the bytes that it returned are
+// malformed.
+func (r *Reader) Cause(err error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var malformed *MalformedError
+	switch {
+	case r.err != nil:
+		return r.err
+	case r.failed, errors.As(err, &malformed):
+		return err
+	}
+	return &MalformedError{Reason: err.Error()}
+}
+
 // step checks one byte of a head.
 func (r *Reader) step(b byte) error {
 	switch r.position {
--- a/internal/stricthttp/stricthttptest/malformed.go
+++ b/internal/stricthttp/stricthttptest/malformed.go
@@ -92,3 +92,18 @@
 		"control byte in a trailer's name": r.chunked("X\x01Odd: 1"),
 	}
 }
+
+// MalformedFraming returns the response with lengths and chunks that do not state where its body
+// ends, by what is malformed.
+func (r Response) MalformedFraming() map[string]string {
+	chunks := func(body string) string { return r.withoutBody("Transfer-Encoding: chunked") + body }
+	return map[string]string{
+		"length that is no number":       r.withoutLength("Content-Length: odd"),
+		"two lengths":                    r.withoutLength("Content-Length: 1\r\nContent-Length: 2"),
+		"unknown coding":                 r.withoutLength("Transfer-Encoding: odd"),
+		"chunk length that is no number": chunks("odd\r\n" + r.Body + "\r\n0\r\n\r\n"),
+		"chunk length with 17 digits":    chunks("10000000000000000\r\n" + r.Body),
+		"chunk longer than its length":   chunks("1\r\n" + r.Body + "\r\n0\r\n\r\n"),
+		"trailer without a colon":        r.chunked("X-Odd"),
+	}
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -148,20 +148,20 @@
 
 // expectHead makes the connection check the next head, of which a part may be buffered. It
 // returns a stricthttp.MalformedError.
-func (c *conn) expectHead() (stricthttp.Head, error) {
+func (c *conn) expectHead() error {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails, as it reads nothing
-	return c.checked.ExpectHead(buffered)
+	_, err := c.checked.ExpectHead(buffered)
+	return err
 }
 
-// headerError returns the IncompleteResponseError of a header that net/http could not read. Its
-// own error may be about the part before the malformed byte.
-func (c *conn) headerError(head stricthttp.Head, err error) error {
-	switch malformed := c.checked.Err(); {
-	case malformed != nil:
-		err = &MalformedResponseError{Cause: malformed}
-	case c.limiter.left == 0:
-		err = &MalformedResponseError{Cause: &HeaderTooLongError{Limit: maxHeaderBytes}}
-	case c.checked.HeadRead(head):
+// readError returns the IncompleteResponseError of a response in which net/http met err.
+func (c *conn) readError(err error) *IncompleteResponseError {
+	err = c.checked.Cause(err)
+	if c.limiter.left == 0 {
+		err = &HeaderTooLongError{Limit: maxHeaderBytes}
+	}
+	var malformed *stricthttp.MalformedError
+	if c.limiter.left == 0 || errors.As(err, &malformed) {
 		err = &MalformedResponseError{Cause: err}
 	}
 	return &IncompleteResponseError{Cause: err}
@@ -260,14 +260,13 @@
 func (r *Response) readHeader() error {
 	r.conn.limiter.left = maxHeaderBytes
 	defer func() { r.conn.limiter.left = -1 }()
-	head, err := r.conn.expectHead()
-	if err != nil {
-		return r.conn.headerError(head, err)
+	if err := r.conn.expectHead(); err != nil {
+		return r.conn.readError(err)
 	}
 	for {
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: r.method})
 		if err != nil {
-			return r.conn.headerError(head, err)
+			return r.conn.readError(err)
 		}
 		if response.StatusCode >= 200 {
 			r.head = response
@@ -312,21 +311,23 @@
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body, and an
-// IncompleteResponseError if the connection ended before or a malformed trailer follows.
+// IncompleteResponseError if the connection ended before, or the body or the trailer is malformed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.head.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		malformed := stricthttp.CheckTrailer(r.head.Trailer)
 		if malformed == nil {
 			r.complete = true
 			return n, err
 		}
-		err = &MalformedResponseError{Cause: malformed}
-	}
-	if err != nil {
-		err = &IncompleteResponseError{HeaderReceived: true, Cause: err}
+		err = malformed
 	}
-	return n, err
+	incomplete := r.conn.readError(err)
+	incomplete.HeaderReceived = true
+	return n, incomplete
 }
 
 // Discard reads the rest of the body, so that the connection can be used again. It gives
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -116,9 +116,19 @@
 }
 
 // Guards against an answer that counts as complete although a malformed field follows its
-// body. The events of a stream have been forwarded by then, so it ends as broken off.
+// body.
 func TestAnswerWithMalformedTrailer(t *testing.T) {
-	variants := stricthttptest.Response.MalformedTrailers
+	testMalformedBody(t, stricthttptest.Response.MalformedTrailers)
+}
+
+// Guards against an answer whose body is bounded where the worker's is not (check MIXED).
+func TestAnswerWithMalformedFraming(t *testing.T) {
+	testMalformedBody(t, stricthttptest.Response.MalformedFraming)
+}
+
+// testMalformedBody tests answers whose malformed byte may follow a part of the body. The events of
+// a stream may have been forwarded by then, so it ends as broken off.
+func testMalformedBody(t *testing.T, variants func(stricthttptest.Response) map[string]string) {
 	t.Run("once", func(t *testing.T) { (&malformedVariants{of: variants}).testOnce(t) })
 	t.Run("safe", func(t *testing.T) { (&malformedVariants{of: variants}).testSafe(t) })
 	t.Run("stream", func(t *testing.T) {
@@ -162,7 +172,7 @@
 	}
 }
 
-// Guards against the same for a body whose chunks are malformed. Red: see KNOWN-RED.txt.
+// Guards against the same for a body whose chunks are malformed.
 func TestMalformedBodyIsNoCrash(t *testing.T) {
 	f := newTestFleet(t, 1)
 	var recovered atomic.Bool
