Entry hosts: a malformed answer is no crash

Seen: with a malformed answer, a call of serve counted as one whose connection was lost. If its engine restarted within 5 s, the crash was held against the request, which then ran alone or was refused. Cause: finishRun of inference and service looked at where a call ended, not at why; and package transport knew only heads and trailers that it had checked itself as malformed, not the lengths, codings, chunks and trailers that net/http rejects. The test no longer leaves out trailers. Change: runs are recorded by the class that decides on retries; transport asks stricthttp.Reader.Cause, unless the call has ended or a write has failed.

--- a/internal/inference/attempt.go
+++ b/internal/inference/attempt.go
@@ -19,13 +19,14 @@
 	x.options.Tracker.RecordFinish(address, x.request.ID, err == nil, now)
 	var interrupted *engine.InterruptedError
 	var unknown *engine.UnknownOutcomeError
+	class := classify(err)
 	switch {
 	case err == nil:
 		run.Completed(now)
-	case errors.As(err, &interrupted), errors.As(err, &unknown):
+	case class == retry.ConnectionLost && (errors.As(err, &interrupted) || errors.As(err, &unknown)):
 		run.ConnectionLost(now)
 		x.options.Upstreams.ConnectionLost(address)
-	case classify(err) == retry.ConnectFailed, classify(err) == retry.RefusedNotRun:
+	case class == retry.ConnectFailed, class == retry.RefusedNotRun:
 		run.NotRun(now)
 	default:
 		run.Ended()
--- a/internal/inference/inference_test.go
+++ b/internal/inference/inference_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +14,8 @@
 	"github.com/arbutusbank/arbutusbank/internal/engine"
 	"github.com/arbutusbank/arbutusbank/internal/liveness"
 	"github.com/arbutusbank/arbutusbank/internal/retry"
+	"github.com/arbutusbank/arbutusbank/internal/routing"
+	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
 )
 
 // Guards against settling a number of tokens other than the engine reported.
@@ -74,3 +78,41 @@
 		t.Errorf("got error %v, want *SilentError", err)
 	}
 }
+
+// noUpstreams ignores what is reported of upstreams.
+type noUpstreams struct{ Upstreams }
+
+func (noUpstreams) ConnectionLost(string)    {}
+func (noUpstreams) ConnectionRefused(string) {}
+
+// Guards against a crash that is held against a request because its engine, which crashed later,
+// had sent bytes that are no answer: the request would be isolated, or refused as one that crashes
+// engines.
+func TestCrashAfterAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		held bool
+	}{
+		"connection lost":        {&engine.InterruptedError{Cause: io.ErrUnexpectedEOF}, true},
+		"answer lost":            {&engine.UnknownOutcomeError{Cause: io.EOF}, true},
+		"malformed head":         {&engine.UnknownOutcomeError{Cause: &stricthttp.MalformedError{}}, false},
+		"malformed body":         {&engine.InterruptedError{Cause: &stricthttp.MalformedError{}}, false},
+		"another call's answer":  {&engine.MismatchError{}, false},
+		"answered with an error": {&engine.RefusedError{Status: http.StatusInternalServerError}, false},
+	} {
+		x := &execution{
+			Executor: NewExecutor(Options{
+				Clock: clock.System{}, Tracker: routing.NewTracker(1, "", prometheus.NewRegistry()),
+				Upstreams: noUpstreams{}, Suspects: retry.NewSuspects(prometheus.NewRegistry()),
+			}),
+			request: &Request{ID: "r1"},
+		}
+		suspects := x.options.Suspects
+		run, _ := suspects.Permit(time.Now(), retry.NewFingerprint("w", "r", nil), "e1")
+		x.finishRun(run, "e1", test.err)
+		suspects.Crashed(time.Now(), "e1", "boot")
+		if held := len(suspects.Dump(time.Now())) > 0; held != test.held {
+			t.Errorf("%s: crash held against the request: %v, want %v", name, held, test.held)
+		}
+	}
+}
--- a/internal/service/executor.go
+++ b/internal/service/executor.go
@@ -350,7 +350,7 @@
 	switch {
 	case err == nil:
 		run.Completed(now)
-	case errors.As(err, &interrupted) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
+	case classify(err) == retry.ConnectionLost && errors.As(err, &interrupted) && !errors.Is(err, context.Canceled):
 		run.ConnectionLost(now)
 	case errors.As(err, &unsent):
 		run.NotRun(now)
@@ -405,11 +405,12 @@
 func classify(err error) retry.ErrorClass {
 	var unsent *NotSentError
 	var tooLarge *ResponseTooLargeError
+	var mismatch *MismatchError
 	var malformed *stricthttp.MalformedError
 	switch {
 	case errors.As(err, &unsent):
 		return retry.ConnectFailed
-	case errors.As(err, &tooLarge), errors.As(err, &malformed):
+	case errors.As(err, &tooLarge), errors.As(err, &mismatch), errors.As(err, &malformed):
 		return retry.ProtocolError
 	case errors.Is(err, context.DeadlineExceeded):
 		return retry.TimedOut
--- a/internal/stricthttp/stricthttptest/server.go
+++ b/internal/stricthttp/stricthttptest/server.go
@@ -5,9 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
+// Cut at the end of a text makes Serve close the connection after the text before it.
+const Cut = "\x00cut"
+
 // Serve answers each request with the text of a function and keeps the connection. It returns
 // the address.
 func Serve(t testing.TB, answer func(*http.Request) string) (address string) {
@@ -40,7 +44,8 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, answer(request)); err != nil {
+		text, cut := strings.CutSuffix(answer(request), Cut)
+		if _, err := io.WriteString(conn, text); err != nil || cut {
 			return
 		}
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
@@ -38,12 +39,22 @@
 // checkedConn is a connection whose responses are checked.
 type checkedConn struct {
 	net.Conn
-	reader *stricthttp.Reader
+	reader      *stricthttp.Reader
+	writeFailed atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
 func checkedDial(dial DialContext) DialContext {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		socket, err := dial(ctx, network, address)
@@ -54,16 +65,19 @@
 	}
 }
 
-// cause returns the MalformedError that made a call fail; the error of the call itself may be about
-// the part before the malformed byte.
-func (c *checkedConn) cause(err error) error {
+// cause returns what made a call fail, in which net/http met err: a MalformedError, or err if the
+// call ended or its connection failed.
+func (c *checkedConn) cause(ctx context.Context, err error) error {
 	if c == nil {
 		return err // no connection
 	}
 	if malformed := c.reader.Err(); malformed != nil {
 		return malformed
 	}
-	return err
+	if ctx.Err() != nil || c.writeFailed.Load() {
+		return err
+	}
+	return c.reader.Cause(err)
 }
 
 // UnaskedError reports a response that arrived before its request was sent.
@@ -77,14 +91,17 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *checkedConn // of the last attempt
 	var head stricthttp.Head
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*checkedConn)       // as checkedDial returns no others
-		head, _ = conn.reader.ExpectHead(nil) // an error fails the next read, too
-	}}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { conn = nil },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn.(*checkedConn)       // as checkedDial returns no others
+			head, _ = conn.reader.ExpectHead(nil) // an error fails the next read, too
+		},
+	}
 	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := t.Transport.RoundTrip(traced)
 	if err != nil {
-		return nil, conn.cause(err)
+		return nil, conn.cause(request.Context(), err)
 	}
 	if !conn.reader.HeadRead(head) {
 		_ = conn.Close() // it holds bytes that belong to no request
@@ -93,25 +110,29 @@
 	}
 	response.Request = request
 	if len(response.TransferEncoding) > 0 {
-		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+		response.Body = &chunkedBody{ReadCloser: response.Body, response: response, conn: conn}
 	}
 	return response, nil
 }
 
-// trailedBody is a body that a trailer may follow.
-type trailedBody struct {
+// chunkedBody is a body in chunks, which a trailer may follow.
+type chunkedBody struct {
 	io.ReadCloser
 	response *http.Response
+	conn     *checkedConn
 }
 
-// Read implements io.Reader. It returns a stricthttp.MalformedError at the end of a body with a
-// malformed trailer.
-func (b *trailedBody) Read(p []byte) (int, error) {
+// Read implements io.Reader. It returns a stricthttp.MalformedError if a chunk or the trailer is
+// malformed.
+func (b *chunkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		if malformed := stricthttp.CheckTrailer(b.response.Trailer); malformed != nil {
 			return n, malformed
 		}
+	case err != nil && !errors.Is(err, http.ErrBodyReadAfterClose):
+		return n, b.conn.cause(b.response.Request.Context(), err)
 	}
 	return n, err
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +26,10 @@
 func get(transport *Transport, address string, header http.Header) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
+	return call(ctx, transport, address, header)
+}
+
+func call(ctx context.Context, transport *Transport, address string, header http.Header) (string, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, nil)
 	if err != nil {
 		return "", err
@@ -46,6 +50,7 @@
 func TestMalformedResponses(t *testing.T) {
 	sound := stricthttptest.Response{Fields: "X-Even: 1\r\n", Body: "whole"}
 	variants := sound.Malformed()
+	maps.Copy(variants, sound.MalformedFraming())
 	variants["first byte"] = "\n\n"
 	for name, text := range variants {
 		for _, kept := range []bool{false, true} {
@@ -67,7 +72,7 @@
 			}
 			body, err := get(transport, address, http.Header{"Idempotency-Key": {"1"}})
 			var malformed *stricthttp.MalformedError
-			if err == nil || !errors.As(err, &malformed) && !strings.Contains(name, "trailer") {
+			if !errors.As(err, &malformed) {
 				t.Errorf("%s, kept connection %v: body %q, error %v; want a MalformedError", name, kept, body, err)
 			}
 			if sent.Load() != 1 {
@@ -77,6 +82,31 @@
 	}
 }
 
+// Guards against a lost connection, that is, a possible crash, that counts as a malformed response.
+func TestCutResponses(t *testing.T) {
+	sound := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\nX-Even: 1\r\n\r\n"
+	for length := range len(sound) {
+		address := stricthttptest.Serve(t, func(*http.Request) string { return sound[:length] + stricthttptest.Cut })
+		body, err := get(newTransport(t), address, http.Header{})
+		var malformed *stricthttp.MalformedError
+		if err == nil || errors.As(err, &malformed) {
+			t.Errorf("%q: body %q, error %v", sound[:length], body, err)
+		}
+	}
+}
+
+// Guards against a call whose time ended that counts as one with a malformed response.
+func TestUnfinishedResponses(t *testing.T) {
+	for _, text := range []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n"} {
+		address := stricthttptest.Serve(t, func(*http.Request) string { return text })
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if body, err := call(ctx, newTransport(t), address, http.Header{}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%q: body %q, error %v", text, body, err)
+		}
+	}
+}
+
 // Guards against sound responses that are rejected because their connections are used again
 // at once, as those without a body are.
 func TestSoundResponsesOnSharedConnections(t *testing.T) {
