A refusal that is malformed behind its head is not believed

Seen: a worker refused with a sound head ('not run') and a malformed chunk or trailer. The gateway sent the request, which must run once, 4 times and then told the caller 503, not run; a worker that said so that it leaves got no requests after it had recovered. Cause: handleNotRun only logged the error of the refusal's body, and send recorded what the response said of its worker before that. Evidence, before: TestMalformedRefusal failed for chunk and trailer (4 sends, 503; status, name, folded line and length passed), TestMalformedRefusalOfLeavingWorker failed. Change: the body is discarded first; if it is malformed, the request counts as run and the answer as lost. A refusal whose body stalls is believed as before (TestStalledRefusalDoesNotHoldTheRequest).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -184,15 +184,14 @@
 		d.runs++
 		return d.handleLostAnswer(id, err)
 	}
-	d.recordStatement(candidate.Upstream, response)
-	switch class {
-	case call.NotRun:
+	if class == call.NotRun {
 		return d.handleNotRun(id, response)
-	case call.Unverified, call.Foreign:
-		d.runs++
-		return d.handleLostRun(id, "answer not understood", OutcomeFailed)
 	}
 	d.runs++
+	d.recordStatement(response)
+	if class != call.Answered {
+		return d.handleLostRun(id, "answer not understood", OutcomeFailed)
+	}
 	d.gateway.recordUpstreamAnswered(d.upstream, d.sentSinceBoot)
 	d.departure.enter(stageResponse)
 	return d.forward(id, response)
@@ -257,9 +256,9 @@
 }
 
 // recordStatement records what a response says of its upstream.
-func (d *dispatcher) recordStatement(from *catalog.Upstream, response *upstream.Response) {
+func (d *dispatcher) recordStatement(response *upstream.Response) {
 	said := d.gateway.protocol.Statement(d.request.ID, response.Status, response.Header)
-	d.gateway.recordStatement(from, said)
+	d.gateway.recordStatement(d.upstream, said)
 }
 
 func (d *dispatcher) priority() int {
@@ -322,8 +321,12 @@
 // crash of the upstream. One that sends a malformed response has not crashed.
 func isConnectionLoss(err error) bool {
 	var incomplete *upstream.IncompleteResponseError
+	return errors.As(err, &incomplete) && !isMalformed(err)
+}
+
+func isMalformed(err error) bool {
 	var malformed *upstream.MalformedResponseError
-	return errors.As(err, &incomplete) && !errors.As(err, &malformed)
+	return errors.As(err, &malformed)
 }
 
 // isCancelledRun reports whether the current run was cancelled because the request is
@@ -343,12 +346,19 @@
 	return false, &refusal{status: http.StatusBadGateway, reason: "request was quarantined"}
 }
 
-// handleNotRun records that an upstream stated that it did not run the request.
+// handleNotRun records that an upstream stated that it did not run the request. A malformed
+// statement is not believed; one whose body does not arrive is, as its head was complete.
 func (d *dispatcher) handleNotRun(id string, response *upstream.Response) (bool, *refusal) {
 	response.RecordRefused()
-	if err := response.Discard(); err != nil {
+	err := response.Discard()
+	if isMalformed(err) {
+		d.runs++
+		return d.handleLostAnswer(id, err)
+	}
+	if err != nil {
 		d.log("Failed to read the body of a refusal.", id, err)
 	}
+	d.recordStatement(response)
 	d.tried[id] = true
 	misdirected := d.gateway.protocol.Misdirected(response.Status)
 	if misdirected {
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -193,20 +193,28 @@
 	}
 }
 
+// malformedRefusals are malformed refusals; %s is the request's ID.
+var malformedRefusals = map[string]string{
+	"status":      "HTTP/1.1 000 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"name":        "HTTP/1.1 503 Full\r\nX Odd: 1\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"folded line": "HTTP/1.1 503 Full\r\nX-Even: 1\r\n X-Odd: 1\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"length":      "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: odd\r\n\r\n",
+	"chunk":       "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\nodd\r\n",
+	"trailer":     "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Odd: 1\r\n\r\n",
+}
+
 // Guards against believing a malformed refusal: the caller would be told that the request has not
-// run (check REFUSED), or it would be sent again.
+// run (check REFUSED), or it would be sent again (check TWICE).
 func TestMalformedRefusal(t *testing.T) {
-	for name, head := range map[string]string{
-		"status": "HTTP/1.1 000 Full\r\n", "name": "HTTP/1.1 503 Full\r\nX Odd: 1\r\n", "folded line": "HTTP/1.1 503 Full\r\nX-Even: 1\r\n X-Odd: 1\r\n",
-	} {
-		t.Run(name, func(t *testing.T) { testMalformedRefusal(t, head) })
+	for name, refusal := range malformedRefusals {
+		t.Run(name, func(t *testing.T) { testMalformedRefusal(t, refusal) })
 	}
 }
 
-func testMalformedRefusal(t *testing.T, head string) {
+func testMalformedRefusal(t *testing.T, refusal string) {
 	f := newTestFleet(t, 1)
 	w := f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
-		_, _ = fmt.Fprintf(conn, "%sRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", head, request.Header.Get("Request-Id"))
+		_, _ = fmt.Fprintf(conn, refusal, request.Header.Get("Request-Id"))
 	})
 	checkNotAnswered(t, f.send(0, http.MethodPost, "/withdraw/1", "refused", "lot"))
 	if runs := len(w.runsSoFar()); runs != 1 {
@@ -214,6 +222,26 @@
 	}
 }
 
+// Guards against a malformed refusal whose worker is believed to leave: it would get no requests
+// after it has recovered.
+func TestMalformedRefusalOfLeavingWorker(t *testing.T) {
+	f := newTestFleet(t, 1)
+	var recovered atomic.Bool
+	f.newRawWorker("ledger", func(conn net.Conn, request *http.Request) {
+		if recovered.Load() {
+			_, _ = io.WriteString(conn, answerHeader(request)+"\r\nContent-Length: 5\r\n\r\nsound")
+			return
+		}
+		leaving := strings.Replace(malformedRefusals["trailer"], "Not-Executed", "Server-Leaving: 1\r\nNot-Executed", 1)
+		_, _ = fmt.Fprintf(conn, leaving, request.Header.Get("Request-Id"))
+	})
+	checkNotAnswered(t, f.send(0, http.MethodPost, "/withdraw/1", "refused", "lot"))
+	recovered.Store(true)
+	if got := f.send(0, http.MethodPost, "/withdraw/1", "later", "lot"); got.status != http.StatusOK {
+		t.Errorf("status %d, body %q, after the worker has recovered", got.status, got.body)
+	}
+}
+
 // Guards against an impossible length that makes the handler panic, so that the caller's
 // connection is closed without an answer (check LOST).
 func TestAnswerWithImpossibleLength(t *testing.T) {
