Entry hosts: a call without a body runs once when its connection closes

Seen: a worker closed a kept connection on which a call had arrived; the call arrived a second time on another one, and could run twice although its route allows one run. Cause: http.Transport itself repeats calls with a safe method or an idempotency key whose kept connection closes. GetBody = nil kept it from that only with a body. Change: Transport.SendOnce, set for plain workers, ends a call at its second attempt if a part of it had been written; a call of which nothing was written is repeated as before. Executor decides about retries, as for calls with a body.

--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -79,6 +79,7 @@
 	dialer.Timeout = dialTimeout
 	calls := transport.New(dialer.DialContext, idleConnsPerHost, idleConnTimeout)
 	calls.DisableCompression = true
+	calls.SendOnce = true // Executor decides about retries
 	client := &http.Client{Transport: calls, CheckRedirect: noRedirect}
 	return &Client{http: client, transport: calls, credential: credential}
 }
@@ -114,9 +115,6 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport does not retry idempotent methods on its own;
-	// Executor decides about retries.
-	request.GetBody = nil
 	request.Header = call.Header.Clone()
 	if request.Header == nil {
 		request.Header = http.Header{}
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -8,8 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
 )
 
 // repeatingServer serves calls and writes the previous response on a connection once more,
@@ -78,3 +81,32 @@
 		t.Error("no response was repeated")
 	}
 }
+
+// Guards against a call that runs twice (check TWICE) because the worker closes a kept connection
+// on which the call has arrived: http.Transport sends some calls again by itself.
+func TestCallIsSentOnce(t *testing.T) {
+	for _, sent := range []Call{{Method: http.MethodPost}, {Method: http.MethodGet}, {Method: http.MethodPost, Body: []byte("body")}} {
+		sent.ID, sent.Path, sent.IdempotencyKey = "1", "/x", "k1"
+		var arrived atomic.Int64
+		address := stricthttptest.Serve(t, func(request *http.Request) string {
+			if arrived.Add(1) > 1 {
+				return stricthttptest.Cut
+			}
+			return stricthttptest.Response{Body: "first"}.Sound()
+		})
+		client := NewClient("credential", &net.Dialer{})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if _, err := client.Do(ctx, address, &sent); err != nil {
+			t.Fatal(err)
+		}
+		sent.ID, sent.IdempotencyKey = "2", "k2"
+		var interrupted *InterruptedError
+		if _, err := client.Do(ctx, address, &sent); !errors.As(err, &interrupted) {
+			t.Errorf("%s %q: error %v, want an InterruptedError", sent.Method, sent.Body, err)
+		}
+		if arrived.Load() != 2 {
+			t.Errorf("%s %q: 2 calls arrived %d times", sent.Method, sent.Body, arrived.Load())
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,11 +4,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -23,12 +20,17 @@
 
 // Transport is an http.Transport that rejects malformed responses, see package stricthttp. A
 // call that gets one fails like one whose connection was lost: it may have run.
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	// SendOnce keeps http.Transport from repeating calls that may have run. It repeats those with a
+	// safe method or an idempotency key if a kept connection is closed.
+	SendOnce bool
+}
 
 // New returns a transport that keeps up to idleConns idle connections to each address for
 // idleTime.
 func New(dial DialContext, idleConns int, idleTime time.Duration) *Transport {
-	return &Transport{&http.Transport{
+	return &Transport{Transport: &http.Transport{
 		DialContext:            checkedDial(dial),
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTime,
@@ -40,6 +42,7 @@
 type checkedConn struct {
 	net.Conn
 	reader      *stricthttp.Reader
+	wrote       atomic.Bool // a part of the current call has been written
 	writeFailed atomic.Bool
 }
 
@@ -49,6 +52,9 @@
 // Write implements net.Conn.
 func (c *checkedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.wrote.Store(true)
+	}
 	if err != nil {
 		c.writeFailed.Store(true)
 	}
@@ -79,60 +85,3 @@
 	}
 	return c.reader.Cause(err)
 }
-
-// UnaskedError reports a response that arrived before its request was sent.
-type UnaskedError struct{}
-
-// Error implements error.
-func (e *UnaskedError) Error() string { return "response arrived before its request was sent" }
-
-// RoundTrip implements http.RoundTripper. It returns the errors of http.Transport, a
-// stricthttp.MalformedError or an UnaskedError.
-func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *checkedConn // of the last attempt
-	var head stricthttp.Head
-	trace := &httptrace.ClientTrace{
-		GetConn: func(string) { conn = nil },
-		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn.(*checkedConn)       // as checkedDial returns no others
-			head, _ = conn.reader.ExpectHead(nil) // an error fails the next read, too
-		},
-	}
-	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	response, err := t.Transport.RoundTrip(traced)
-	if err != nil {
-		return nil, conn.cause(request.Context(), err)
-	}
-	if !conn.reader.HeadRead(head) {
-		_ = conn.Close() // it holds bytes that belong to no request
-		_ = response.Body.Close()
-		return nil, &UnaskedError{}
-	}
-	response.Request = request
-	if len(response.TransferEncoding) > 0 {
-		response.Body = &chunkedBody{ReadCloser: response.Body, response: response, conn: conn}
-	}
-	return response, nil
-}
-
-// chunkedBody is a body in chunks, which a trailer may follow.
-type chunkedBody struct {
-	io.ReadCloser
-	response *http.Response
-	conn     *checkedConn
-}
-
-// Read implements io.Reader. It returns a stricthttp.MalformedError if a chunk or the trailer is
-// malformed.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		if malformed := stricthttp.CheckTrailer(b.response.Trailer); malformed != nil {
-			return n, malformed
-		}
-	case err != nil && !errors.Is(err, http.ErrBodyReadAfterClose):
-		return n, b.conn.cause(b.response.Request.Context(), err)
-	}
-	return n, err
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -105,6 +105,47 @@
 	}
 }
 
+// Guards against a call that http.Transport sends again although it may have run (check TWICE): one
+// without a body that is safe or has an idempotency key, if its kept connection is closed.
+func TestSendOnce(t *testing.T) {
+	const kept = 4 // connections, so that others are idle when one is closed
+	var arrived atomic.Int64
+	var closing atomic.Bool
+	var together sync.WaitGroup
+	together.Add(kept)
+	address := stricthttptest.Serve(t, func(*http.Request) string {
+		if closing.Load() {
+			arrived.Add(1)
+			return stricthttptest.Cut
+		}
+		together.Done()
+		together.Wait() // so that each call has a connection of its own
+		return stricthttptest.Response{Body: "whole"}.Sound()
+	})
+	transport := newTransport(t)
+	transport.SendOnce = true
+	var group sync.WaitGroup
+	for range kept {
+		group.Go(func() {
+			if _, err := get(transport, address, http.Header{}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	closing.Store(true)
+	for i := range int64(kept) {
+		body, err := get(transport, address, http.Header{"Idempotency-Key": {"1"}})
+		var malformed *stricthttp.MalformedError
+		if err == nil || errors.As(err, &malformed) {
+			t.Errorf("body %q, error %v; want a lost connection", body, err)
+		}
+		if arrived.Load() != i+1 {
+			t.Fatalf("%d calls arrived %d times", i+1, arrived.Load())
+		}
+	}
+}
+
 // Guards against sound responses that are rejected because their connections are used again
 // at once, as those without a body are.
 func TestSoundResponsesOnSharedConnections(t *testing.T) {
