Plain workers of entry hosts that answer without end: a test

Half of the callers of TestAnswersWithoutEndAtServe call a plain worker whose answers have no end now, beside 16 such engines; a test also fails if nobody asked for such an answer.

--- a/tests/crowd/unending_test.go
+++ b/tests/crowd/unending_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,20 +62,31 @@
 	}
 }
 
-// upstreamWithoutEnd starts an upstream and returns its address. Control calls go to an engine
-// if there is one.
-func upstreamWithoutEnd(t *testing.T, name, engine string) string {
+// startUnending starts upstreams that answer without end, and returns their addresses. Control
+// calls go to an engine if there is one. The test fails if no upstream was asked for an answer.
+func startUnending(t *testing.T, name, engine string, count int) (addresses []string) {
 	t.Helper()
+	var asked atomic.Int64
 	control := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: engine})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if engine != "" && strings.HasPrefix(r.URL.Path, "/control/") {
 			control.ServeHTTP(w, r)
 			return
 		}
+		asked.Add(1)
 		answerWithoutEnd(w, r, name)
-	}))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	})
+	for range count {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	t.Cleanup(func() {
+		if asked.Load() == 0 {
+			t.Errorf("no answer was asked of the upstreams at %v", addresses)
+		}
+	})
+	return addresses
 }
 
 // askForUnending has callers send requests until unendingTime has passed, and checks meanwhile
@@ -112,7 +124,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := startGatewayWith(t, func(store *platformtest.Store) {
 				store.Set("servers", "odd-1", map[string]any{
-					"service": "odd", "address": upstreamWithoutEnd(t, name, ""), "zone": "z1", "version": "v1", "slots": 1000, "state": "ready",
+					"service": "odd", "address": startUnending(t, name, "", 1)[0], "zone": "z1", "version": "v1", "slots": 1000, "state": "ready",
 					"coldLeftMs": 0, "models": []any{}, "seq": 1, "born": 1, "available": map[string]any{"onDisk": []string{}, "inMemory": []string{}},
 				})
 				store.Set("op", "config", gatewayConfig(
@@ -131,7 +143,7 @@
 	for _, name := range []string{"Head", "Body", "Chunks"} {
 		t.Run(name, func(t *testing.T) {
 			p := startGatewayWith(t, func(store *platformtest.Store) {
-				address := upstreamWithoutEnd(t, name, "")
+				address := startUnending(t, name, "", 1)[0]
 				for i := range unendingEngines {
 					store.Set("servers", fmt.Sprintf("odd-%d", i), map[string]any{
 						"service": "odd", "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
@@ -172,17 +184,18 @@
 	}
 }
 
-// Guards against the same at the other program: inference calls, and reports.
+// Guards against the same at the other program: inference calls, calls of a plain worker, and
+// reports.
 func TestAnswersWithoutEndAtServe(t *testing.T) {
 	for name := range unendingAnswers {
-		t.Run(name, func(t *testing.T) { testEngineWithoutEnd(t, name, true) })
+		t.Run(name, func(t *testing.T) { testServeWithoutEnd(t, name, true) })
 	}
 	for _, name := range []string{"Head", "Body", "Chunks"} {
-		t.Run("Reports/"+name, func(t *testing.T) { testEngineWithoutEnd(t, name, false) })
+		t.Run("Reports/"+name, func(t *testing.T) { testServeWithoutEnd(t, name, false) })
 	}
 }
 
-func testEngineWithoutEnd(t *testing.T, name string, soundReports bool) {
+func testServeWithoutEnd(t *testing.T, name string, soundReports bool) {
 	p, f := startServeInFleet(t)
 	shape := deployment.SeedOffice()
 	entry := func(address, kind, service, state string) platform.HostEntry {
@@ -191,6 +204,7 @@
 	engine := f.Engines[0].Address()
 	list := []platform.HostEntry{
 		entry(f.Services[0].Address(), platform.KindService, shape.PlainService, platform.StateLive),
+		entry(startUnending(t, name, "", 1)[0], platform.KindService, shape.PlainService, platform.StateLive),
 		entry(engine, platform.KindEngine, shape.EngineService, platform.StateLeaving),
 		entry(p.address, platform.KindEntry, "", platform.StateLive),
 	}
@@ -198,14 +212,17 @@
 	if soundReports {
 		control = engine
 	}
-	for range unendingEngines {
-		list = append(list, entry(upstreamWithoutEnd(t, name, control), platform.KindEngine, shape.EngineService, platform.StateLive))
+	for _, address := range startUnending(t, name, control, unendingEngines) {
+		list = append(list, entry(address, platform.KindEngine, shape.EngineService, platform.StateLive))
 	}
 	f.Platform.SetHosts(list)
 	time.Sleep(hostListTime)
 	population := f.Population()
 	key, model := population.Workspaces["curators"].Key, population.Models[0]
 	p.askForUnending(func(id int) string {
+		if id%2 == 0 {
+			return p.nextHead(false) + "Connection: close\r\nContent-Length: 0\r\n\r\n"
+		}
 		body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":4,"messages":[{"role":"user","content":"%d"}]}`, model, id)
 		return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 			key, len(body), body)
