An engine with malformed bodies is avoided

Seen: an engine whose chunks or trailers were malformed went on to get requests: 13 to 16 of 40, beside a sound engine; with malformed heads 1 or 2. The streams of these callers broke off. Cause: a malformed body counted as an error response, which starts no backoff. Change: malformed bodies have the outcome of malformed heads, in streams and in buffered answers.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,10 +49,14 @@
 			return d.handleHeldBack(id, err)
 		}
 		d.log("Answer broken off.", id, err)
-		if isConnectionLoss(err) {
+		outcome := OutcomeFailed
+		switch {
+		case isMalformed(err):
+			outcome = OutcomeMalformed
+		case isConnectionLoss(err):
 			d.recordLostRun()
 		}
-		return d.handleLostRun(id, "answer broken off", OutcomeFailed)
+		return d.handleLostRun(id, "answer broken off", outcome)
 	}
 	if response.Status >= http.StatusInternalServerError {
 		if again, _ := d.handleLostRun(id, "", OutcomeFailed); again && d.gateway.hasAlternative(d, id) {
@@ -219,7 +223,10 @@
 	}
 	d.log("Stream broken off.", id, err)
 	outcome := OutcomeFailed
-	if errors.Is(err, io.EOF) || isConnectionLoss(err) {
+	switch {
+	case isMalformed(err):
+		outcome = OutcomeMalformed
+	case errors.Is(err, io.EOF), isConnectionLoss(err):
 		outcome = OutcomeConnectionLost
 	}
 	return d.handleLostRun(id, "stream broken off", outcome)
--- a/tests/gateway/malformed_answer_test.go
+++ b/tests/gateway/malformed_answer_test.go
@@ -193,6 +193,42 @@
 	}
 }
 
+const (
+	// avoidedRequests is the number of requests beside a worker that is to be avoided,
+	// maxAvoidedRuns how many of them may reach it: its backoff begins with 0.5 s and doubles.
+	avoidedRequests = 40
+	maxAvoidedRuns  = 5
+	avoidedPause    = 20 * time.Millisecond
+)
+
+// Guards against an engine that goes on to get requests although its answers are malformed: the
+// streams of callers break off, or wait for a second run.
+func TestEngineWithMalformedAnswersIsAvoided(t *testing.T) {
+	for name, malformed := range map[string]string{
+		"head": "X Odd: 1\r\n\r\n", "chunk": "Transfer-Encoding: chunked\r\n\r\nodd\r\n", "trailer": "Transfer-Encoding: chunked\r\n\r\n0\r\nX Odd: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			f.store.Remove("servers", f.engine.ID)
+			odd := f.addRawWorker("odd", "llm", func(conn net.Conn, request *http.Request) {
+				_, _ = io.WriteString(conn, answerHeader(request)+"\r\n"+malformed)
+			})
+			f.addRawWorker("even", "llm", func(conn net.Conn, request *http.Request) {
+				const event = "id: 1\ndata: a\n\n"
+				_, _ = fmt.Fprintf(conn, "%s\r\nContent-Length: %d\r\n\r\n%s", answerHeader(request), len(event), event)
+			})
+			for i := range avoidedRequests {
+				id := fmt.Sprint("avoid-", i)
+				f.sendModelRequest(0, "/chat/"+id, id, "m1", "Prompt-Prefix", id+":50,b2:50")
+				time.Sleep(avoidedPause)
+			}
+			if runs := len(odd.runsSoFar()); runs == 0 || runs > maxAvoidedRuns {
+				t.Errorf("%d of %d requests reached the engine, want 1 to %d", runs, avoidedRequests, maxAvoidedRuns)
+			}
+		})
+	}
+}
+
 // malformedRefusals are malformed refusals; %s is the request's ID.
 var malformedRefusals = map[string]string{
 	"status":      "HTTP/1.1 000 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
