--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -36,6 +36,7 @@
 	return &httptrace.ClientTrace{GetConn: e.beginAttempt, GotConn: e.useConn}
 }
 
+// beginAttempt ends the call if an earlier attempt may have reached the upstream.
 func (e *exchange) beginAttempt(string) {
 	if e.once && e.conn != nil && e.conn.wrote.Load() {
 		e.closed = true
@@ -44,6 +45,7 @@
 	e.conn = nil
 }
 
+// useConn expects the response on the connection of the attempt.
 func (e *exchange) useConn(info httptrace.GotConnInfo) {
 	e.conn = info.Conn.(*checkedConn) // as checkedDial returns no others
 	if e.closed {
