Orders go out only for the content for which they were decided

Cause: the order count was read when an order was sent. A report between the decision and its order (of the prefetch of adapters, of a refused order, of a call for an adapter) renewed the count, so that the engine accepted a decision made for another content. Only the attempts to load a model looked whether a report had shown an unknown order, and only since their own begin.

Change: each decision keeps the version of the engine's content; sendOrder, where the count is read, sends nothing if the version has changed. Loads of adapters are decided anew at once. Covers loads and unloads of models and adapters. The loader of serve was sound: it plans again from the rows on which its commit is conditional; a test says so.

--- a/internal/coordinator/adapters.go
+++ b/internal/coordinator/adapters.go
@@ -15,6 +15,9 @@
 	// adapterMinResidence is how long an adapter is kept after the last request for it: it
 	// may still be loading, and the request that needs it is on its way.
 	adapterMinResidence = 700 * time.Millisecond
+	// maxAdapterDecisions bounds how often the load of an adapter is decided anew because the
+	// engine's content has changed.
+	maxAdapterDecisions = 3
 )
 
 // Adapter loads an adapter on an engine that holds its model and returns the engine.
@@ -50,31 +53,51 @@
 // loadAdapter evicts an adapter if necessary and loads the requested one. The caller holds
 // engine.adapterMu.
 func (c *Coordinator) loadAdapter(ctx context.Context, engine *engineState, request *AdapterRequest) *AdapterReply {
+	for decisions := 1; ; decisions++ {
+		reply, contentVersion := c.tryLoadAdapter(ctx, engine, request)
+		if reply.Upstream != "" || decisions == maxAdapterDecisions || c.contentVersion(engine) == contentVersion {
+			return reply
+		}
+	}
+}
+
+// contentVersion returns the version of the engine's content for which decisions are made now.
+func (c *Coordinator) contentVersion(engine *engineState) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return engine.contentVersion
+}
+
+// tryLoadAdapter makes one decision on the load of an adapter, carries it out and returns the
+// version of the engine's content that it was made for. If the content turns out to be another
+// one, as after an unload that completed at once and may or may not count as an order, the
+// load has to be decided anew. The caller holds engine.adapterMu.
+func (c *Coordinator) tryLoadAdapter(ctx context.Context, engine *engineState, request *AdapterRequest) (reply *AdapterReply, contentVersion int) {
 	name := request.Model + "/" + request.Adapter
 	c.mu.Lock()
+	contentVersion = engine.contentVersion
 	loaded := slices.Contains(engine.holdings.Models[request.Model], request.Adapter)
 	engine.adapterRequestedAt[name] = c.now()
 	evict, full := c.adapterVictim(engine, name)
 	c.mu.Unlock()
 	switch {
 	case loaded:
-		return &AdapterReply{Upstream: engine.id}
+		return &AdapterReply{Upstream: engine.id}, contentVersion
 	case full && evict == "":
-		return &AdapterReply{Reason: "all places are in use"}
-	case evict != "" && !c.unloadAdapter(ctx, engine, evict):
-		return &AdapterReply{Reason: "no place could be freed"}
+		return &AdapterReply{Reason: "all places are in use"}, contentVersion
+	case evict != "" && !c.unloadAdapter(ctx, engine, evict, contentVersion):
+		return &AdapterReply{Reason: "no place could be freed"}, contentVersion
 	}
 	order := Order{Model: request.Model, Adapter: request.Adapter}
-	result, ok := c.issueOrder(ctx, engine, order)
-	if result == OrderConflict && evict != "" {
-		// Only the report tells whether an unload that completed at once counted as an
-		// order. issueOrder reads it after a conflict unless an order is known to be in
-		// progress.
-		result, ok = c.issueOrder(ctx, engine, order)
-	}
+	result, ok := c.issueOrder(ctx, engine, order, contentVersion)
 	if !ok {
-		return &AdapterReply{Reason: "order " + result.String()}
+		return &AdapterReply{Reason: "order " + result.String()}, contentVersion
 	}
+	return c.recordAdapter(engine, request, result), contentVersion
+}
+
+// recordAdapter adds an adapter that was ordered to the engine's content and returns the reply.
+func (c *Coordinator) recordAdapter(engine *engineState, request *AdapterRequest, result OrderResult) *AdapterReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if adapters, held := engine.holdings.Models[request.Model]; held && !slices.Contains(adapters, request.Adapter) {
@@ -203,9 +226,9 @@
 	return leastRecent, true
 }
 
-func (c *Coordinator) unloadAdapter(ctx context.Context, engine *engineState, name string) bool {
+func (c *Coordinator) unloadAdapter(ctx context.Context, engine *engineState, name string, contentVersion int) bool {
 	model, adapter := splitAdapter(name)
-	result, ok := c.issueOrder(ctx, engine, Order{Unload: true, Model: model, Adapter: adapter})
+	result, ok := c.issueOrder(ctx, engine, Order{Unload: true, Model: model, Adapter: adapter}, contentVersion)
 	if !ok || result != OrderSatisfied {
 		return false // an adapter in use is unloaded later; a report will show it
 	}
--- a/internal/coordinator/blocked_unload_test.go
+++ b/internal/coordinator/blocked_unload_test.go
@@ -19,6 +19,9 @@
 	engines    map[string]*fakeEngine
 	blockedFor time.Duration
 	silent     string // ID of an engine whose reports can't be read
+	// lateBy returns how much later an order without a response is carried out; 0: it is
+	// answered.
+	lateBy func() time.Duration
 
 	mu      sync.Mutex
 	blocked bool // an unload was blocked
@@ -36,10 +39,15 @@
 // Order implements Engines.
 func (e *fakeEngines) Order(ctx context.Context, upstream *catalog.Upstream, order Order) (OrderResult, error) {
 	engine := e.engines[upstream.ID]
+	if late := e.late(); late > 0 {
+		time.AfterFunc(late, func() { _, _ = engine.Order(context.Background(), upstream, order) })
+		time.Sleep(OrderTimeout)
+		return OrderUnknown, &EngineError{Upstream: upstream.ID, Call: "order", Cause: context.DeadlineExceeded}
+	}
 	result, err := engine.Order(ctx, upstream, order)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !order.Unload || result != OrderAccepted || e.blocked {
+	if e.blockedFor == 0 || !order.Unload || result != OrderAccepted || e.blocked {
 		return result, err
 	}
 	e.blocked = true
@@ -54,6 +62,13 @@
 	return result, err
 }
 
+func (e *fakeEngines) late() time.Duration {
+	if e.lateBy == nil {
+		return 0
+	}
+	return e.lateBy()
+}
+
 // startCoordinatorWith runs a coordinator with engines that hold models each.
 func startCoordinatorWith(t *testing.T, service *catalog.Service, engines *fakeEngines, now func() time.Duration) *Coordinator {
 	t.Helper()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -353,6 +353,7 @@
 
 func (c *Coordinator) startAction(ctx context.Context, now time.Duration, service *catalog.Service, action Action) {
 	engine := c.fleet[action.Engine]
+	action.contentVersion = engine.contentVersion
 	engine.occupied = true
 	engine.loading = &action
 	engine.readyAt = now + action.LoadTime + swapOverhead
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -17,13 +17,21 @@
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 )
 
-// fakeLease is a lease that this host holds until ended is set.
-type fakeLease struct{ ended atomic.Bool }
+// fakeLease is a lease that this host holds until ended is set. Orders pause while paused is set.
+type fakeLease struct{ ended, paused atomic.Bool }
 
-func (l *fakeLease) TimeUntilOrders() time.Duration       { return 0 }
-func (l *fakeLease) Held() bool                           { return !l.ended.Load() }
-func (l *fakeLease) Validity() (int64, time.Duration)     { return 1, time.Second }
-func (l *fakeLease) MayOrder(time.Duration) (int64, bool) { return 1, !l.ended.Load() }
+func (l *fakeLease) TimeUntilOrders() time.Duration {
+	if l.paused.Load() {
+		return time.Second
+	}
+	return 0
+}
+
+func (l *fakeLease) Held() bool                       { return !l.ended.Load() }
+func (l *fakeLease) Validity() (int64, time.Duration) { return 1, time.Second }
+func (l *fakeLease) MayOrder(time.Duration) (int64, bool) {
+	return 1, !l.ended.Load() && !l.paused.Load()
+}
 
 type fakeFleetState struct {
 	config *catalog.Config
@@ -77,8 +85,11 @@
 	// from a full engine.
 	lateLoad bool
 	// late is how much longer than announced a load takes.
-	late       time.Duration
-	violations []string
+	late time.Duration
+	// beforeOrder is called before an order is checked, to execute a late one.
+	beforeOrder func(e *fakeEngine, order Order)
+	accepted    []Order
+	violations  []string
 }
 
 func (e *fakeEngine) Report(context.Context, *catalog.Upstream) (catalog.Holdings, error) {
@@ -102,6 +113,9 @@
 	time.Sleep(2 * time.Millisecond) // network delay
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.beforeOrder != nil {
+		e.beforeOrder(e, order)
+	}
 	if e.holdings.Busy || order.AfterSeq != e.holdings.OrderSeq {
 		return OrderConflict, nil
 	}
@@ -115,6 +129,10 @@
 	if order.Unload && order.Adapter != "" && !slices.Contains(e.holdings.Models[order.Model], order.Adapter) {
 		return OrderSatisfied, nil // nothing to do, so the order is not counted
 	}
+	if order.Adapter != "" && !e.holdings.Holds(order.Model) {
+		return OrderRejected, nil
+	}
+	e.accepted = append(e.accepted, order)
 	e.holdings.OrderSeq++
 	result := e.execute(order)
 	if e.responseDelay > 0 {
@@ -141,6 +159,9 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.holdings.Pending = slices.DeleteFunc(slices.Clone(e.holdings.Pending), func(p string) bool { return p == name })
+			if !e.holdings.Holds(order.Model) {
+				return
+			}
 			e.holdings.Models[order.Model] = append(e.holdings.Models[order.Model], order.Adapter)
 		})
 	case order.Unload:
@@ -520,7 +541,7 @@
 	state.orderMu.Lock()
 	results := make(chan OrderResult, 1)
 	go func() {
-		result, _ := c.issueOrder(context.Background(), state, Order{Model: "m1"})
+		result, _ := c.issueOrder(context.Background(), state, Order{Model: "m1"}, 0)
 		results <- result
 	}()
 	time.Sleep(20 * time.Millisecond) // wait until issueOrder blocks on the lock
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -123,7 +123,7 @@
 		fleetState.evacuated = map[string]bool{"": true}
 	})
 	start := time.Now()
-	if _, ok := c.issueWithRetries(context.Background(), state, Order{Model: "m1"}); ok || time.Since(start) > maxUnloadWait/2 {
+	if _, ok := c.issueWithRetries(context.Background(), state, Order{Model: "m1"}, 0); ok || time.Since(start) > maxUnloadWait/2 {
 		t.Errorf("order given: %v, attempts ended after %v", ok, time.Since(start))
 	}
 }
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -41,9 +41,10 @@
 	evacuated bool
 	// nextRecheck is the earliest time at which a new suspicion is followed up.
 	nextRecheck time.Duration
-	// unexpectedOrders counts the reports that showed orders which were executed although
-	// their response was lost. Decisions made before such a report are void.
-	unexpectedOrders int
+	// contentVersion counts the reports that showed orders which this coordinator did not
+	// know to be executed: their response was lost, or an earlier coordinator sent them.
+	// Decisions made for an earlier version are void.
+	contentVersion int
 	// changed reports that the engine's view may have changed.
 	changed bool
 }
@@ -82,7 +83,7 @@
 		return
 	}
 	if e.reported && h.OrderSeq > e.holdings.OrderSeq {
-		e.unexpectedOrders++
+		e.contentVersion++
 	}
 	e.holdings = h
 	e.reported = true
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -47,7 +47,7 @@
 		c.prefetchAdapters(ctx, engine, action)
 	}
 	for _, model := range action.Unload {
-		if !c.unloadModel(ctx, engine, model) {
+		if !c.unloadModel(ctx, engine, action, model) {
 			return
 		}
 	}
@@ -59,8 +59,8 @@
 
 // unloadModel sends an unload order. It does not wait for reports: the engine accepts the
 // next order when the unload is complete.
-func (c *Coordinator) unloadModel(ctx context.Context, engine *engineState, model string) bool {
-	if _, ok := c.issueOrder(ctx, engine, Order{Unload: true, Model: model}); !ok {
+func (c *Coordinator) unloadModel(ctx context.Context, engine *engineState, action *Action, model string) bool {
+	if _, ok := c.issueOrder(ctx, engine, Order{Unload: true, Model: model}, action.contentVersion); !ok {
 		return false
 	}
 	defer clock.Sleep(ctx, unloadTime)
@@ -88,7 +88,7 @@
 // it does.
 func (c *Coordinator) loadModel(ctx context.Context, engine *engineState, action *Action) bool {
 	order := Order{Model: action.Load}
-	result, ok := c.issueWithRetries(ctx, engine, order)
+	result, ok := c.issueWithRetries(ctx, engine, order, action.contentVersion)
 	if !ok {
 		return false
 	}
@@ -124,23 +124,19 @@
 
 // issueWithRetries sends an order, and repeats it while the engine is busy with the
 // previous one or does not answer. The engine accepts only one of several orders with the
-// same count, so an unanswered one can be repeated at once.
-func (c *Coordinator) issueWithRetries(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+// same count, so an unanswered one can be repeated at once. contentVersion is as in issueOrder.
+func (c *Coordinator) issueWithRetries(ctx context.Context, engine *engineState, order Order, contentVersion int) (OrderResult, bool) {
 	start := c.now()
-	unexpected := c.unexpectedOrders(engine)
 	unanswered := 0
 	pause := minBusyBackoff
 	for tries := 1; ; tries++ {
-		result, ok := c.issueOrder(ctx, engine, order)
+		result, ok := c.issueOrder(ctx, engine, order, contentVersion)
 		if result == OrderConflict && tries%conflictsPerReport == 0 {
 			c.refreshReport(ctx, engine) // it may be busy with an order whose response was lost
 		}
 		if result == OrderUnknown {
 			unanswered++
 		}
-		if c.unexpectedOrders(engine) != unexpected {
-			return result, ok // the decision is void, unless the order was already accepted
-		}
 		retry := result == OrderConflict || (result == OrderUnknown && unanswered < maxUnansweredTries)
 		if ok || !retry || c.now()-start > maxUnloadWait || ctx.Err() != nil {
 			return result, ok
@@ -152,18 +148,13 @@
 	}
 }
 
-func (c *Coordinator) unexpectedOrders(engine *engineState) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return engine.unexpectedOrders
-}
-
-// issueOrder sends an order. After a failure it reads the report and, for a model order,
-// backs off from the engine.
-func (c *Coordinator) issueOrder(ctx context.Context, engine *engineState, order Order) (OrderResult, bool) {
+// issueOrder sends an order that was decided for a content version of the engine; it sends
+// nothing if the version has changed. After a failure it reads the report and, for a model
+// order, backs off from the engine.
+func (c *Coordinator) issueOrder(ctx context.Context, engine *engineState, order Order, contentVersion int) (OrderResult, bool) {
 	engine.orderMu.Lock() // each order expects the count left by the previous one
 	defer engine.orderMu.Unlock()
-	result, sent := c.sendOrder(ctx, engine, order)
+	result, sent := c.sendOrder(ctx, engine, order, contentVersion)
 	if !sent || result == OrderAccepted || result == OrderSatisfied {
 		return result, sent
 	}
@@ -178,9 +169,9 @@
 
 // sendOrder sends an order with the engine's order count, so that an earlier order whose
 // response was lost cannot be executed after it. sent is false if the order was not sent
-// because the lease has ended or the engine has been replaced. The caller holds
-// engine.orderMu.
-func (c *Coordinator) sendOrder(ctx context.Context, engine *engineState, order Order) (result OrderResult, sent bool) {
+// because the lease has ended, the engine has been replaced, or its content has changed since
+// the decision. The caller holds engine.orderMu.
+func (c *Coordinator) sendOrder(ctx context.Context, engine *engineState, order Order, contentVersion int) (result OrderResult, sent bool) {
 	fence, ok := c.lease.MayOrder(orderDeliveryTime)
 	if !ok {
 		return OrderRejected, false
@@ -195,6 +186,13 @@
 		c.mu.Unlock()
 		return OrderRejected, false // the engine wants nothing from this host now, or its data centre is evacuated
 	}
+	if engine.contentVersion != contentVersion {
+		seq := engine.holdings.OrderSeq
+		c.mu.Unlock()
+		c.log.Info("Order not given: the engine's content has changed since the decision.", "upstream", upstream.ID,
+			"model", order.Model, "adapter", order.Adapter, "unload", order.Unload, "order_seq", seq)
+		return OrderRejected, false
+	}
 	order.AfterSeq, order.Holder, order.Fence = engine.holdings.OrderSeq, c.host, fence
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
--- a/internal/coordinator/plan.go
+++ b/internal/coordinator/plan.go
@@ -127,6 +127,8 @@
 	Source   Source
 	Reason   string
 	LoadTime time.Duration // expected
+	// contentVersion is that of the engine for which the action was decided.
+	contentVersion int
 }
 
 type planner struct {
--- a/internal/loading/decide_test.go
+++ b/internal/loading/decide_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/config"
 	"github.com/arbutusbank/arbutusbank/internal/engine"
+	"github.com/arbutusbank/arbutusbank/internal/weightstore"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -207,3 +208,38 @@
 		}
 	}
 }
+
+// TestPlanOfEarlierRowsIsRefused guards against orders of any kind that were decided before
+// another host's commit, or the adoption of weights that an old order had loaded, changed the
+// rows: the plan of an action is made from the rows that its commit is conditional on.
+func TestPlanOfEarlierRowsIsRefused(t *testing.T) {
+	reservation := func(model, adapter string, bytes int64, state State) Reservation {
+		return Reservation{Weights: Weights{Model: model, Adapter: adapter}, Version: "1", Bytes: bytes, State: state, Source: SourceDisk, LoadFence: 5}
+	}
+	base, adapter := reservation("a", "", 60, StateLoaded), reservation("a", "x", 10, StateLoaded)
+	unloading := base
+	unloading.State, unloading.UnloadFence = StateUnloading, 9
+	cases := []struct {
+		name          string
+		action        Action
+		before, after []Reservation
+	}{
+		{"load", Action{Kind: ActionLoad, Reservation: reservation("b", "", 60, "")}, nil, []Reservation{base}},
+		{"unload", Action{Kind: ActionUnload, Reservation: base}, []Reservation{base}, []Reservation{unloading}},
+		{"load of an adapter", Action{Kind: ActionLoad, Reservation: reservation("a", "y", 10, "")}, []Reservation{base},
+			[]Reservation{base, reservation("c", "", 35, StateLoaded)}},
+		{"load of an adapter, base unloaded", Action{Kind: ActionLoad, Reservation: reservation("a", "y", 10, "")}, []Reservation{base}, []Reservation{unloading}},
+		{"unload of an adapter", Action{Kind: ActionUnload, Reservation: adapter}, []Reservation{base, adapter}, []Reservation{base}},
+	}
+	for _, c := range cases {
+		c.action.Upstream = "e"
+		bounds := Bounds{Memory: 100, MaxReplicas: 1, Now: epoch, StartObserved: func(uint64) time.Time { return epoch }}
+		bounds.Limits = weightstore.Limits{LoadsPerS: 10, Concurrent: 1, AdapterLoads: 1}
+		if _, err := NewPlan(rowsWith("e", c.before...), c.action, "w", bounds); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if _, err := NewPlan(rowsWith("e", c.after...), c.action, "w", bounds); err == nil {
+			t.Errorf("%s: planned with changed rows", c.name)
+		}
+	}
+}
