Hosts keep the crashes behind each quarantine for the next coordinator

Cause: lost runs are known to the host that lost them and to the coordinator. If the coordinator's own host had lost them, the next one adopted the quarantine from the hosts but knew no crashes, so that nothing told bb from the segment that crashes engines, and no trial took place before the end of the quarantine.

Change: the coordinator tells all hosts the lost runs that speak for its quarantines; they report them to the next one with their own. Hosts also report the groups that tell segments apart, in case the crashes are gone. A quarantine without known crashes ends with an answer after its last crash: a host that was cut off could bring one back that had been lifted.

--- a/internal/coordinator/blocked_unload_test.go
+++ b/internal/coordinator/blocked_unload_test.go
@@ -79,7 +79,7 @@
 		holdings.Models = maps.Clone(holdings.Models)
 		state.upstreams = append(state.upstreams, &catalog.Upstream{ID: id, Service: service.Name, Address: id + ":1", Holdings: holdings})
 	}
-	c := newCoordinator("host", &fakeLease{}, state, engines, logr.Discard(), now)
+	c := NewWithClock("host", &fakeLease{}, state, engines, logr.Discard(), now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
--- a/internal/coordinator/cold_test.go
+++ b/internal/coordinator/cold_test.go
@@ -15,7 +15,7 @@
 	now := time.Hour
 	services := []*catalog.Service{{Name: "ledger", ColdStart: 3 * time.Second, ColdPerS: 14}, {Name: "free"}}
 	fleetState := &fakeFleetState{config: catalog.NewConfig(1, nil, services, catalog.Limits{})}
-	c := newCoordinator("host", &fakeLease{}, fleetState, nil, logr.Discard(), func() time.Duration { return now })
+	c := NewWithClock("host", &fakeLease{}, fleetState, nil, logr.Discard(), func() time.Duration { return now })
 	s1 := Incarnation{Upstream: "s1", StartedMS: 7}
 	granted, seats := 0, 0
 	for _, host := range []string{"a", "b", "c", "d", "e"} {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -90,11 +90,11 @@
 
 // New returns a coordinator that is idle until BeginTerm is called.
 func New(host string, lease Lease, fleetState FleetState, engines Engines, log logr.Logger) *Coordinator {
-	return newCoordinator(host, lease, fleetState, engines, log, clock.SinceBoot)
+	return NewWithClock(host, lease, fleetState, engines, log, clock.SinceBoot)
 }
 
-// newCoordinator returns a coordinator that reads the time since boot from now.
-func newCoordinator(host string, lease Lease, fleetState FleetState, engines Engines, log logr.Logger, now func() time.Duration) *Coordinator {
+// NewWithClock is New with a function that returns the time since boot.
+func NewWithClock(host string, lease Lease, fleetState FleetState, engines Engines, log logr.Logger, now func() time.Duration) *Coordinator {
 	c := &Coordinator{host: host, lease: lease, fleetState: fleetState, engines: engines, log: log, now: now}
 	c.reset(true, nil)
 	return c
@@ -166,6 +166,11 @@
 	reply.View = c.views.since(request.Epoch == epoch, request.ViewVersion)
 	reply.Estimates = c.estimatesFor(request)
 	c.crashReports.reply(now, reply)
+	evidenceVersion := int64(0)
+	if request.Epoch == epoch {
+		evidenceVersion = request.EvidenceVersion
+	}
+	c.crashReports.replyEvidence(now, evidenceVersion, reply)
 	reply.Running = c.demand.excludeHost(request.Host, c.notableLoads)
 	c.queues.reply(now, c.demand.rates, request.Host, reply)
 	reply.PoolHosts = PoolHostsFor(c.poolHosts, request.DataCenter)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -233,7 +233,7 @@
 		config:    catalog.NewConfig(1, nil, []*catalog.Service{service}, catalog.Limits{}),
 		upstreams: []*catalog.Upstream{{ID: "e1", Service: "llm", Address: "e1:1", Holdings: entry}},
 	}
-	c := newCoordinator("host", &fakeLease{}, fleetState, engine, logr.Discard(), now)
+	c := NewWithClock("host", &fakeLease{}, fleetState, engine, logr.Discard(), now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -57,7 +57,7 @@
 		&catalog.Upstream{ID: "e1", Service: "llm", DataCenter: "z0", Address: "e1:1", Holdings: holdings("m0")},
 		&catalog.Upstream{ID: "e2", Service: "llm", DataCenter: "z1", Address: "e2:1", Holdings: holdings("m1")},
 	)
-	c := newCoordinator("host", &fakeLease{}, fleetState, engines, logr.Discard(), clock.SinceBoot)
+	c := NewWithClock("host", &fakeLease{}, fleetState, engines, logr.Discard(), clock.SinceBoot)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -71,6 +71,9 @@
 	RemainingMS  int64          `json:"remaining_ms"` // 0: it has ended, and only a trial may run
 	FailedTrials int            `json:"failed_trials,omitempty"`
 	Trial        *Trial         `json:"trial,omitempty"` // nil: none may take place
+	// Alternatives are groups of keys that explain the crashes as well, in reports to a new
+	// coordinator.
+	Alternatives [][]quarantine.Key `json:"alternatives,omitempty"`
 	// Deputy is the host that may run trials if there is no coordinator.
 	Deputy string `json:"deputy,omitempty"`
 }
@@ -113,6 +116,9 @@
 	Answered []Answered `json:"answered,omitempty"`
 	// Quarantines are those that the coordinator before has decided.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// EvidenceVersion is the version of the coordinator's evidence that the host has, of the
+	// coordinator of Epoch.
+	EvidenceVersion int64 `json:"evidence_version,omitempty"`
 	// TrialsWanted are quarantined keys of which the host has a request that may be tried.
 	TrialsWanted []quarantine.Key `json:"trials_wanted,omitempty"`
 	// Trials are the host's trials of which the coordinator may not know the outcome.
@@ -247,6 +253,10 @@
 	Estimates  []Estimate                 `json:"estimates,omitempty"`
 	// Quarantines are the requests, and segments of prompts, that crash upstreams.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Evidence are lost runs of all hosts that speak for quarantines, after the version that
+	// the host has. The host tells the next coordinator of them.
+	Evidence        []LostRun `json:"evidence,omitempty"`
+	EvidenceVersion int64     `json:"evidence_version,omitempty"`
 	// Suspected may crash upstreams, unless a host has answered them.
 	Suspected []quarantine.Key `json:"suspected,omitempty"`
 	// Tables are the updates for the host's table replicas, by table.
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -16,6 +16,10 @@
 	// trialSettleTime is the time from the first exchange of a term to its first trial: until
 	// then hosts report the trials that the coordinator before has begun.
 	trialSettleTime = 2 * time.Second
+	// maxEvidence bounds the runs of which hosts are told in one term, maxRepliedEvidence those
+	// in one reply.
+	maxEvidence        = 1024
+	maxRepliedEvidence = 32
 	// maxTrialsWanted bounds the keys for which one exchange asks for a trial.
 	maxTrialsWanted = 64
 	// deputyInterval is how long a deputy stays the same, so that it is not computed for each
@@ -35,6 +39,8 @@
 	exchanges map[string]exchangeTimes // by host
 	startedAt time.Duration            // first exchange; 0: none yet
 	deputies  map[quarantine.Key]deputy
+	evidence  []quarantine.TimedRun // told to all hosts; its length is the version
+	told      map[uint64]bool       // IDs of the runs in evidence
 }
 
 // deputy is the host that may run trials of a key if there is no coordinator.
@@ -48,7 +54,10 @@
 type exchangeTimes struct{ previous, latest time.Duration }
 
 func newCrashReports(log logr.Logger) *crashReports {
-	return &crashReports{tracker: quarantine.NewTracker(), log: log, exchanges: map[string]exchangeTimes{}, deputies: map[quarantine.Key]deputy{}}
+	return &crashReports{
+		tracker: quarantine.NewTracker(), log: log, exchanges: map[string]exchangeTimes{},
+		deputies: map[quarantine.Key]deputy{}, told: map[uint64]bool{},
+	}
 }
 
 // record applies a host's reports.
@@ -58,7 +67,9 @@
 	}
 	r.exchanges[request.Host] = exchangeTimes{previous: r.exchanges[request.Host].latest, latest: now}
 	for _, q := range request.Quarantines {
-		r.tracker.Adopt(quarantine.Quarantine{Key: q.Key, Until: now + milliseconds(q.RemainingMS), FailedTrials: max(0, q.FailedTrials)})
+		r.tracker.Adopt(quarantine.Quarantine{
+			Key: q.Key, Until: now + milliseconds(q.RemainingMS), FailedTrials: max(0, q.FailedTrials), Alternatives: q.Alternatives,
+		})
 	}
 	for _, lost := range request.LostRuns {
 		r.tracker.Record(now, now-milliseconds(lost.AgeMS), lost.LostRun)
@@ -104,10 +115,31 @@
 	consulted := r.consulted(now)
 	reply.Quarantines = r.quarantines(now, consulted)
 	reply.Suspected = r.tracker.Suspected(now, consulted)
+	r.collectEvidence(now, consulted)
 	for _, d := range r.tracker.TakeDecisions() {
 		r.log.Info("Quarantine decided.", "key", strconv.FormatUint(uint64(d.Key), 16), "request", d.Request, "lifted", d.Lifted,
-			"crashes", d.Crashes, "for_ms", max(0, d.Until-now).Milliseconds())
+			"crashes", d.Crashes, "alternatives", len(r.tracker.Alternatives(now, consulted, d.Key)), "for_ms", max(0, d.Until-now).Milliseconds())
+	}
+}
+
+// collectEvidence adds the runs that speak for new quarantines to what hosts are told.
+func (r *crashReports) collectEvidence(now, consulted time.Duration) {
+	for _, run := range r.tracker.SupportingRuns(now, consulted) {
+		if len(r.evidence) < maxEvidence && !r.told[run.ID] {
+			r.told[run.ID] = true
+			r.evidence = append(r.evidence, run)
+		}
+	}
+}
+
+// replyEvidence adds the evidence after the version that a host has to a reply.
+func (r *crashReports) replyEvidence(now time.Duration, version int64, reply *ExchangeReply) {
+	from := min(max(0, version), int64(len(r.evidence)))
+	to := min(from+maxRepliedEvidence, int64(len(r.evidence)))
+	for _, run := range r.evidence[from:to] {
+		reply.Evidence = append(reply.Evidence, LostRun{LostRun: run.LostRun, AgeMS: max(0, now-run.At).Milliseconds()})
 	}
+	reply.EvidenceVersion = to
 }
 
 // quarantines returns the quarantined keys, and those that only trials may run.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -210,7 +210,7 @@
 		Epoch: epoch, ViewVersion: version,
 		Demand: e.demand.takeDemand(time.Now()), Running: e.registry.RunningCounts(),
 		Unreachable: e.registry.Unreachable(), SuspectedUpstreams: e.registry.SuspectedUpstreams(), Tables: map[string]int64{},
-		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines,
+		LostRuns: report.lost, Answered: report.answered, Quarantines: report.quarantines, EvidenceVersion: report.evidence,
 		TrialsWanted: report.wanted, Trials: report.trials,
 		Leaving: e.registry.leavingReport(), Paused: e.registry.pausedReport(),
 		Paces: paces, PaceVersion: paceVersion,
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,7 +17,8 @@
 	// lostRunRetention is how long a lost run is reported to new coordinators: as long as it
 	// counts there.
 	lostRunRetention = 30 * time.Minute
-	// maxLostRuns bounds the lost runs that are kept for reports; the oldest are dropped.
+	// maxLostRuns bounds the lost runs that are kept for reports, and those of other hosts; the
+	// oldest are dropped.
 	maxLostRuns = 1024
 	// answeredAfter is the time of output after which an upstream has survived the
 	// beginning of an answer.
@@ -39,6 +40,10 @@
 	mu   sync.Mutex
 	own  *quarantine.Tracker // of the runs lost at this host
 	lost []reportedRun
+	// evidence are lost runs of all hosts that the coordinator has told of; evidenceVersion is
+	// its version of them.
+	evidence        []reportedRun
+	evidenceVersion int64
 	// decided are the quarantines of the coordinator, suspected the keys that it asks about.
 	decided   map[quarantine.Key]*decidedQuarantine
 	suspected map[quarantine.Key]bool
@@ -90,17 +95,23 @@
 func (q *requestQuarantine) recordLostRunAt(at time.Duration, run quarantine.LostRun) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.recordOwn(at, run)
+	q.endTrials(run.Request, quarantine.TrialLost)
+	q.lost = append(q.lost, reportedRun{LostRun: run, at: at, informed: noEpoch})
+	if len(q.lost) > maxLostRuns {
+		q.lost = slices.Delete(q.lost, 0, len(q.lost)-maxLostRuns)
+	}
+}
+
+// recordOwn records a lost run, and what this host knows of answers to its keys, in this host's
+// own tracker. It requires q.mu.
+func (q *requestQuarantine) recordOwn(at time.Duration, run quarantine.LostRun) {
 	q.own.Record(q.now(), at, run)
 	for _, key := range append(slices.Clone(run.Segments), run.Request) {
 		if answeredAt, ok := q.answeredAt(key); ok {
 			q.own.Answered(answeredAt, key)
 		}
 	}
-	q.endTrials(run.Request, quarantine.TrialLost)
-	q.lost = append(q.lost, reportedRun{LostRun: run, at: at, informed: noEpoch})
-	if len(q.lost) > maxLostRuns {
-		q.lost = slices.Delete(q.lost, 0, len(q.lost)-maxLostRuns)
-	}
 }
 
 // recordAnswer records that an upstream answered a request, or has been answering it for
--- a/internal/gateway/quarantine_report.go
+++ b/internal/gateway/quarantine_report.go
@@ -19,6 +19,7 @@
 // quarantineReport is what an exchange reports.
 type quarantineReport struct {
 	epoch       int64 // of the coordinator for which the report is complete
+	evidence    int64 // version of the coordinator's evidence that this host has
 	lost        []coordinator.LostRun
 	answered    []coordinator.Answered
 	quarantines []coordinator.Quarantine
@@ -34,18 +35,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	q.lost = slices.DeleteFunc(q.lost, func(run reportedRun) bool { return now-run.at > lostRunRetention })
-	report := quarantineReport{epoch: q.epoch}
-	for _, run := range q.lost {
-		if run.informed != q.epoch && len(report.lost) < maxReportedRuns {
-			report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
+	expired := func(run reportedRun) bool { return now-run.at > lostRunRetention }
+	q.lost, q.evidence = slices.DeleteFunc(q.lost, expired), slices.DeleteFunc(q.evidence, expired)
+	report := quarantineReport{epoch: q.epoch, evidence: q.evidenceVersion}
+	for _, runs := range [][]reportedRun{q.lost, q.evidence} {
+		for _, run := range runs {
+			if run.informed != q.epoch && len(report.lost) < maxReportedRuns {
+				report.lost = append(report.lost, coordinator.LostRun{LostRun: run.LostRun, AgeMS: (now - run.at).Milliseconds()})
+			}
 		}
 	}
 	for key, d := range q.decided {
 		report.addAnswer(q, now, key)
 		if q.informed != q.epoch {
 			remaining := max(0, d.until-now).Milliseconds()
-			report.quarantines = append(report.quarantines, coordinator.Quarantine{Key: key, RemainingMS: remaining, FailedTrials: d.failed})
+			report.quarantines = append(report.quarantines, coordinator.Quarantine{
+				Key: key, RemainingMS: remaining, FailedTrials: d.failed, Alternatives: d.alternatives(),
+			})
 		}
 	}
 	for key := range q.suspected {
@@ -69,6 +75,7 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	q.epoch, q.repliedAt = reply.Epoch, now
+	q.learnEvidence(now, reply)
 	if report.epoch == reply.Epoch {
 		q.confirm(report)
 	}
@@ -100,10 +107,28 @@
 func (q *requestQuarantine) confirm(report quarantineReport) {
 	q.informed = report.epoch
 	for _, sent := range report.lost {
-		for i := range q.lost {
-			if q.lost[i].ID == sent.ID {
-				q.lost[i].informed = report.epoch
+		for _, runs := range [][]reportedRun{q.lost, q.evidence} {
+			for i := range runs {
+				if runs[i].ID == sent.ID {
+					runs[i].informed = report.epoch
+				}
 			}
 		}
 	}
 }
+
+// learnEvidence keeps the lost runs of other hosts that the coordinator tells of: the next one
+// may know neither them nor this host's, and decides by what hosts report.
+func (q *requestQuarantine) learnEvidence(now time.Duration, reply *coordinator.ExchangeReply) {
+	q.evidenceVersion = reply.EvidenceVersion
+	for _, told := range reply.Evidence {
+		isTold := func(run reportedRun) bool { return run.ID == told.ID }
+		if slices.ContainsFunc(q.lost, isTold) || slices.ContainsFunc(q.evidence, isTold) {
+			continue
+		}
+		at := now - time.Duration(max(0, told.AgeMS))*time.Millisecond
+		q.evidence = append(q.evidence, reportedRun{LostRun: told.LostRun, at: at, informed: reply.Epoch})
+		q.recordOwn(at, told.LostRun)
+	}
+	q.evidence = slices.Delete(q.evidence, 0, max(0, len(q.evidence)-maxLostRuns))
+}
--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -131,7 +131,7 @@
 		}
 	}
 	for _, own := range q.own.Quarantined(now, now) {
-		if !keys.has(own.Key) || q.isTrying(now, own.Key, of) {
+		if !keys.has(own.Key) || q.decided[own.Key] != nil || q.isTrying(now, own.Key, of) {
 			continue
 		}
 		trial := trials[own.Key]
@@ -148,6 +148,15 @@
 	return key == k.request || slices.Contains(k.segments, key)
 }
 
+// alternatives returns the groups of keys that explain the crashes as well, as far as the
+// coordinator has told them.
+func (d *decidedQuarantine) alternatives() [][]quarantine.Key {
+	if d.trial == nil {
+		return nil
+	}
+	return d.trial.Without
+}
+
 // beginAsDeputy begins a trial without a coordinator, if this host is the one that may.
 func (q *requestQuarantine) beginAsDeputy(now time.Duration, key quarantine.Key, d *decidedQuarantine) {
 	if d.deputy != q.host || q.host == "" || now-q.repliedAt < deputyDelay {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -73,6 +73,9 @@
 			t.decide(Decision{Key: key, Lifted: true})
 		case now > h.until+probationTime:
 			delete(t.holds, key)
+		case e == nil && answered && answeredAt > h.lastCrash()-answerWindow:
+			delete(t.holds, key)
+			t.decide(Decision{Key: key, Lifted: true})
 		case e == nil:
 		case t.isAnswered(key, e):
 			delete(t.holds, key)
@@ -153,12 +156,13 @@
 	for key, h := range t.holds {
 		t.endSilentTrial(now, key, h)
 		if now <= h.until {
-			t.quarantined = append(t.quarantined, Quarantine{Key: key, Until: h.until, FailedTrials: h.failed})
+			t.quarantined = append(t.quarantined, Quarantine{Key: key, Until: h.until, FailedTrials: h.failed, Alternatives: t.alternatives(key)})
 		}
 		if offer, open := t.offer(now, key, h); open {
 			t.trials = append(t.trials, offer)
 		}
 	}
+	t.supporting = t.supportingRuns()
 	slices.SortFunc(t.trials, func(a, b Trial) int { return cmp.Compare(a.Key, b.Key) })
 	for key, e := range t.evidence {
 		suspected := len(e.crashes) >= suspicionThreshold && now-e.last(1) <= suspicionTime && t.holds[key] == nil && !t.isAnswered(key, e)
--- /dev/null
+++ b/internal/quarantine/knowledge_test.go
@@ -0,0 +1,85 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// crashAll records crashes, one second apart, that end one run each with the same segments.
+func crashAll(t *Tracker, from time.Duration, count int, segments ...Key) time.Duration {
+	for i := range count {
+		at := from + time.Duration(i)*time.Second
+		id := uint64(at.Milliseconds())
+		t.Record(at, at, LostRun{ID: id, Upstream: "e", StartedMS: int64(id), Request: Key(10_000 + id), Segments: segments})
+	}
+	return from + time.Duration(count-1)*time.Second
+}
+
+// quarantinedKeys returns the quarantined keys after the hosts have been asked about suspects.
+func quarantinedKeys(t *Tracker, now time.Duration) map[Key]bool {
+	t.Quarantined(now, now)
+	keys := map[Key]bool{}
+	for _, q := range t.Quarantined(now, now) {
+		keys[q.Key] = true
+	}
+	return keys
+}
+
+// Guards against a new coordinator that knows the quarantine of a sound segment but not its
+// crashes: it must offer the trial that clears the segment, and then refuse the one that crashes
+// upstreams, without a further crash.
+func TestSupportingRunsCarryTheEvidence(t *testing.T) {
+	const first, crashing, behind = Key(1), Key(2), Key(3)
+	old := NewTracker()
+	now := crashAll(old, time.Hour, 3, first, crashing, behind)
+	if !quarantinedKeys(old, now)[behind] {
+		t.Fatal("the last segment is not quarantined")
+	}
+	next := NewTracker()
+	for _, run := range old.SupportingRuns(now, now) {
+		next.Record(now, run.At, run.LostRun)
+	}
+	for _, q := range old.Quarantined(now, now) {
+		next.Adopt(q)
+	}
+	now += time.Second
+	if trials := next.Trials(now, now); len(trials) != 1 || len(trials[0].Without) == 0 {
+		t.Fatalf("trials %+v, want one that tells the segments apart", trials)
+	}
+	next.Answered(now, behind)
+	next.Answered(now, first)
+	if keys := quarantinedKeys(next, now); keys[behind] || keys[first] || !keys[crashing] {
+		t.Errorf("quarantined %v, want the segment that crashes upstreams", keys)
+	}
+}
+
+// Guards against a quarantine without known crashes that no trial can end before its time: the
+// hosts still know what the coordinator before has told them of alternatives.
+func TestAlternativesOutliveTheEvidence(t *testing.T) {
+	old, next := NewTracker(), NewTracker()
+	now := crashAll(old, time.Hour, 3, 1, 2, 3)
+	old.Quarantined(now, now)
+	for _, q := range old.Quarantined(now, now) {
+		next.Adopt(q)
+	}
+	trials := next.Trials(now, now)
+	if len(trials) != 1 || len(trials[0].Without) == 0 {
+		t.Errorf("trials %+v, want one that tells the segments apart", trials)
+	}
+}
+
+// Guards against a host that was cut off and brings a quarantine back that others have lifted:
+// nobody knows its crashes, but the key was answered after them.
+func TestAnswerLiftsAQuarantineWithoutCrashes(t *testing.T) {
+	tracker, now := NewTracker(), time.Hour
+	tracker.Adopt(Quarantine{Key: 3, Until: now + 50*time.Second})
+	tracker.Answered(now-2*time.Second, 3)
+	if quarantinedKeys(tracker, now)[3] {
+		t.Error("the key is still quarantined")
+	}
+	tracker.Adopt(Quarantine{Key: 4, Until: now + 50*time.Second})
+	tracker.Answered(now-time.Minute, 4) // long before the crashes
+	if !quarantinedKeys(tracker, now)[4] {
+		t.Error("a key that was answered only before its crashes is not quarantined")
+	}
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -75,6 +75,8 @@
 	Key          Key
 	Until        time.Duration
 	FailedTrials int
+	// Alternatives are groups of keys that explain the crashes as well, see Trial.Without.
+	Alternatives [][]Key
 }
 
 // Decision is a change of the quarantines, for logs.
@@ -118,12 +120,24 @@
 	failed   int    // trials and other runs after the end that crashed an upstream
 	unknown  int    // trials without an outcome since the last failed one
 	trial    *trial // in progress; nil: none
+	// alternatives are those that the tracker knew which has decided the quarantine; they
+	// count as long as this one does not know its crashes.
+	alternatives [][]Key
 }
 
 func newHold(until time.Duration, failed int) *hold {
 	return &hold{until: until, failed: failed, duration: DurationAfter(failed)}
 }
 
+// lastCrash returns when the last crash was that the quarantine counts from.
+func (h *hold) lastCrash() time.Duration { return h.until - h.duration }
+
+func (h *hold) adoptAlternatives(groups [][]Key) {
+	if len(groups) > 0 {
+		h.alternatives = groups[:min(len(groups), maxWithout)]
+	}
+}
+
 // DurationAfter returns how long a quarantine lasts after a number of failed trials.
 func DurationAfter(failed int) time.Duration {
 	switch failed {
@@ -158,6 +172,7 @@
 	lastTrial   uint64
 	suspected   []Key
 	unanswered  []Key      // segments with crashes, in the order of prompts; computed with trials
+	supporting  []TimedRun // that speak for the quarantines
 	decisions   []Decision // not yet taken
 }
 
@@ -257,12 +272,15 @@
 	t.changed = true
 	if h := t.holds[q.Key]; h != nil {
 		h.until = max(h.until, q.Until)
+		h.adoptAlternatives(q.Alternatives)
 		if q.FailedTrials > h.failed {
 			h.failed, h.duration = q.FailedTrials, DurationAfter(q.FailedTrials)
 		}
 		return
 	}
-	t.hold(q.Key, newHold(q.Until, q.FailedTrials))
+	h := newHold(q.Until, q.FailedTrials)
+	h.adoptAlternatives(q.Alternatives)
+	t.hold(q.Key, h)
 }
 
 func (t *Tracker) hold(key Key, h *hold) {
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -62,11 +62,22 @@
 	return t.trials
 }
 
+// MayTryEarly reports whether a quarantined key may be tried before the end of its quarantine
+// after a number of failed trials.
+func MayTryEarly(failed int) bool { return failed < maxEarlyTrials }
+
+// Alternatives returns the groups of keys of which the request of a trial before the end of a
+// key's quarantine must lack one, see Trial.Without.
+func (t *Tracker) Alternatives(now, consulted time.Duration, key Key) [][]Key {
+	t.refresh(now, consulted)
+	return t.alternatives(key)
+}
+
 // offer returns the trial of a quarantine, if one may take place.
 func (t *Tracker) offer(now time.Duration, key Key, h *hold) (offer Trial, open bool) {
 	offer = Trial{Key: key, FailedTrials: h.failed}
 	if now <= h.until {
-		if h.failed < maxEarlyTrials {
+		if MayTryEarly(h.failed) {
 			offer.Without = t.alternatives(key)
 		}
 		if len(offer.Without) == 0 {
@@ -84,6 +95,9 @@
 // and the others together if they leave too few crashes for a quarantine.
 func (t *Tracker) alternatives(key Key) [][]Key {
 	e := t.evidence[key]
+	if h := t.holds[key]; h != nil && (e == nil || len(e.crashes) < crashThreshold) {
+		return h.alternatives
+	}
 	if e == nil || e.isRequest() {
 		return nil
 	}
