Hosts without a coordinator clear sound segments

Cause: only the coordinator named hosts for trials, 2 s after the begin of its term at the earliest; without one a deputy did so, after 20 s. A coordinator that lasts less than 2 s named nobody and yet counted as one.

Change: a host for which no coordinator has named hosts for 4.5 s runs one trial at a time by itself, with requests that tell segments apart only: it can't learn the outcome of another host's. It goes by the groups that the coordinator told, or by the lost runs that it knows. A new coordinator names hosts after 1.2 s, in which all hosts find it.

Test: TestHostWithoutCoordinatorClearsASoundSegment (refused before).

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -257,6 +257,9 @@
 	// the host has. The host tells the next coordinator of them.
 	Evidence        []LostRun `json:"evidence,omitempty"`
 	EvidenceVersion int64     `json:"evidence_version,omitempty"`
+	// TrialsSettled reports that the coordinator names hosts for trials: it knows those that
+	// the one before has begun.
+	TrialsSettled bool `json:"trials_settled,omitempty"`
 	// Suspected may crash upstreams, unless a host has answered them.
 	Suspected []quarantine.Key `json:"suspected,omitempty"`
 	// Tables are the updates for the host's table replicas, by table.
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -14,8 +14,8 @@
 
 const (
 	// trialSettleTime is the time from the first exchange of a term to its first trial: until
-	// then hosts report the trials that the coordinator before has begun.
-	trialSettleTime = 2 * time.Second
+	// then hosts find the new coordinator and report the trials that the one before has begun.
+	trialSettleTime = 1200 * time.Millisecond
 	// maxEvidence bounds the runs of which hosts are told in one term, maxRepliedEvidence those
 	// in one reply.
 	maxEvidence        = 1024
@@ -80,7 +80,7 @@
 	for _, trial := range request.Trials {
 		r.tracker.ReportTrial(now, request.Host, trial.Key, trial.ID, trial.Outcome)
 	}
-	if now-r.startedAt < trialSettleTime {
+	if !r.settled(now) {
 		return
 	}
 	for _, key := range request.TrialsWanted[:min(len(request.TrialsWanted), maxTrialsWanted)] {
@@ -88,6 +88,11 @@
 	}
 }
 
+// settled reports whether trials may begin in this term.
+func (r *crashReports) settled(now time.Duration) bool {
+	return r.startedAt != 0 && now-r.startedAt >= trialSettleTime
+}
+
 // milliseconds converts a number of another host, which must not be negative.
 func milliseconds(ms int64) time.Duration {
 	return time.Duration(min(max(0, ms), maxReportedMS)) * time.Millisecond
@@ -113,7 +118,7 @@
 // reply adds what crashes upstreams to a reply.
 func (r *crashReports) reply(now time.Duration, reply *ExchangeReply) {
 	consulted := r.consulted(now)
-	reply.Quarantines = r.quarantines(now, consulted)
+	reply.Quarantines, reply.TrialsSettled = r.quarantines(now, consulted), r.settled(now)
 	reply.Suspected = r.tracker.Suspected(now, consulted)
 	r.collectEvidence(now, consulted)
 	for _, d := range r.tracker.TakeDecisions() {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,6 +51,7 @@
 	wanted    map[quarantine.Key]time.Duration
 	waiting   map[quarantine.Key]bool // a request waits for a trial
 	repliedAt time.Duration           // last reply of a coordinator
+	settledAt time.Duration           // last reply of one that names hosts for trials, or the first reply
 	watched   map[*watchedRun]struct{}
 	epoch     int64 // of the coordinator that replied last
 	informed  int64 // epoch of the coordinator that knows this host's quarantines
--- a/internal/gateway/quarantine_report.go
+++ b/internal/gateway/quarantine_report.go
@@ -74,6 +74,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
+	if reply.TrialsSettled || q.repliedAt == 0 {
+		q.settledAt = now
+	}
 	q.epoch, q.repliedAt = reply.Epoch, now
 	q.learnEvidence(now, reply)
 	if report.epoch == reply.Epoch {
--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -26,6 +26,10 @@
 	maxTrialWait = 15 * time.Second
 	// trialOutcomeTime is how long after the end of its request a trial waits for an outcome.
 	trialOutcomeTime = time.Second
+	// isolatedTrialDelay is how long a host has to be without a coordinator that names hosts for
+	// trials before it runs one that tells keys apart on its own: another host takes over a lease
+	// in less.
+	isolatedTrialDelay = 4500 * time.Millisecond
 	// deputyDelay is how long a host has to be without a coordinator before it runs trials as
 	// a deputy: those that the coordinator has begun have ended.
 	deputyDelay = 20 * time.Second
@@ -77,13 +81,11 @@
 		if d == nil || q.isTrying(now, key, of) {
 			continue
 		}
-		if d.until > now && (d.trial == nil || !keys.tellsApart(d.trial.Without)) {
+		if d.until > now && !keys.tellsApart(q.alternatives(now, key, d, coordinated)) {
 			a.refuse(key, d.until-now)
 			continue
 		}
-		if !coordinated {
-			q.beginAsDeputy(now, key, d)
-		}
+		q.beginAlone(now, key, d, coordinated)
 		q.checkTrial(now, key, &a)
 	}
 	if !coordinated {
@@ -148,6 +150,17 @@
 	return key == k.request || slices.Contains(k.segments, key)
 }
 
+// alternatives returns the groups of keys that tell a request apart before the end of a
+// quarantine: those of the coordinator's trial. A host without a coordinator goes by the lost
+// runs that it knows of if that one had none, as it may not have known them itself yet.
+func (q *requestQuarantine) alternatives(now time.Duration, key quarantine.Key, d *decidedQuarantine, coordinated bool) [][]quarantine.Key {
+	groups := d.alternatives()
+	if len(groups) == 0 && (!coordinated || now-q.settledAt >= isolatedTrialDelay) && quarantine.MayTryEarly(d.failed) {
+		return q.own.Alternatives(now, now, key)
+	}
+	return groups
+}
+
 // alternatives returns the groups of keys that explain the crashes as well, as far as the
 // coordinator has told them.
 func (d *decidedQuarantine) alternatives() [][]quarantine.Key {
@@ -157,9 +170,14 @@
 	return d.trial.Without
 }
 
-// beginAsDeputy begins a trial without a coordinator, if this host is the one that may.
-func (q *requestQuarantine) beginAsDeputy(now time.Duration, key quarantine.Key, d *decidedQuarantine) {
-	if d.deputy != q.host || q.host == "" || now-q.repliedAt < deputyDelay {
+// beginAlone begins a trial that no coordinator has named, if this host may. Before the end of a
+// quarantine each host may for which none has named hosts for some time, as it can't learn the
+// outcome of another host's trial; after it only the deputy may.
+func (q *requestQuarantine) beginAlone(now time.Duration, key quarantine.Key, d *decidedQuarantine, coordinated bool) {
+	switch {
+	case d.until > now && now-q.settledAt >= isolatedTrialDelay && quarantine.MayTryEarly(d.failed):
+	case !coordinated && d.deputy == q.host && q.host != "" && now-q.repliedAt >= deputyDelay:
+	default:
 		return
 	}
 	q.beginOwnTrial(now, key)
--- a/internal/gateway/quarantine_trials_test.go
+++ b/internal/gateway/quarantine_trials_test.go
@@ -204,3 +204,40 @@
 		t.Error("admitted at the end of the quarantine")
 	}
 }
+
+// Guards against a sound segment that is refused for as long as a host has no coordinator that
+// names hosts for trials: it is cut off from it, or coordinators come and go too soon.
+func TestHostWithoutCoordinatorClearsASoundSegment(t *testing.T) {
+	const crashing, behind = quarantine.Key(7), quarantine.Key(8)
+	sound := quarantineKeys{request: 1, segments: []quarantine.Key{behind}}
+	bad := quarantineKeys{request: 2, segments: []quarantine.Key{crashing, behind}}
+	decided := coordinator.Quarantine{Key: behind, RemainingMS: 60_000, Trial: &coordinator.Trial{Without: [][]quarantine.Key{{crashing}}}}
+	for _, coordinated := range []bool{false, true} {
+		h := newTrialHost(t, "a")
+		h.reply(decided)
+		for range 4 {
+			h.now += time.Second
+			if coordinated {
+				h.reply(decided) // of a coordinator whose term has just begun
+			}
+			if ok, _ := h.ask(coordinated, sound, nil); ok {
+				t.Errorf("coordinated %v: admitted before another host can have taken over", coordinated)
+			}
+		}
+		h.now += time.Second
+		if ok, _ := h.ask(coordinated, bad, nil); ok {
+			t.Errorf("coordinated %v: a request that tells nothing apart was admitted", coordinated)
+		}
+		ok, _ := h.ask(coordinated, sound, nil)
+		if !ok {
+			t.Fatalf("coordinated %v: the sound request was refused", coordinated)
+		}
+		if again, _ := h.ask(coordinated, quarantineKeys{request: 3, segments: sound.segments}, nil); again {
+			t.Errorf("coordinated %v: a second request was admitted while the first one runs", coordinated)
+		}
+		h.recordAnswer(sound)
+		if ok, _ := h.ask(coordinated, sound, nil); !ok {
+			t.Errorf("coordinated %v: refused after the answer", coordinated)
+		}
+	}
+}
