A cleared segment stays refused until what replaces it is refused

Cause: an answer lifted the quarantine at once, but the segment that crashes engines is refused only when the hosts have been asked whether they answered it. A new coordinator asks them while the hosts already report the answer. A host that had cleared the segment by itself refused nothing until the next reply.

Change: an answered segment stays quarantined while another one that stood in its crashes awaits the hosts' replies (a second at most); a host that clears a segment by itself refuses what its own crashes then speak against.

Test: TestClearedSegmentIsReplacedAtOnce failed before.

--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -304,6 +304,7 @@
 	case d == nil:
 	case outcome == quarantine.TrialAnswered:
 		delete(q.decided, key)
+		q.adoptOwn(now)
 	default:
 		d.failed++
 		d.until = now + quarantine.DurationAfter(d.failed)
@@ -311,6 +312,16 @@
 	q.own.EndTrial(now, key, outcome)
 }
 
+// adoptOwn refuses, until the coordinator decides, what explains the crashes by this host's own
+// tracker after it has cleared a key.
+func (q *requestQuarantine) adoptOwn(now time.Duration) {
+	for _, own := range q.own.Quarantined(now, now) {
+		if q.decided[own.Key] == nil {
+			q.decided[own.Key] = &decidedQuarantine{until: own.Until, failed: own.FailedTrials}
+		}
+	}
+}
+
 // reportTrials adds this host's trials to a report.
 func (q *requestQuarantine) reportTrials(now time.Duration, report *quarantineReport) {
 	for key, at := range q.wanted {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -26,7 +26,7 @@
 	}
 	t.changed, t.evaluatedAt = false, now
 	t.expire(now)
-	t.reviewHolds(now)
+	t.reviewHolds(now, consulted)
 	for _, key := range t.candidates(now, consulted) {
 		if e := t.evidence[key]; !t.isExplained(e) {
 			h := newHold(e.last(1)+initialQuarantine, 0)
@@ -63,7 +63,7 @@
 
 // reviewHolds lifts quarantines of keys that were answered, extends those of keys that
 // crash upstreams further, and drops those whose probation has ended.
-func (t *Tracker) reviewHolds(now time.Duration) {
+func (t *Tracker) reviewHolds(now, consulted time.Duration) {
 	for key, h := range t.holds {
 		e := t.evidence[key]
 		answeredAt, answered := t.answers[key]
@@ -77,6 +77,8 @@
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Lifted: true})
 		case e == nil:
+		case t.isAnswered(key, e) && t.awaitsReplacement(now, consulted, e):
+			// Nothing would be refused until the hosts have been asked about the other keys.
 		case t.isAnswered(key, e):
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Request: e.isRequest(), Lifted: true, Crashes: len(e.crashes)})
@@ -89,6 +91,26 @@
 	}
 }
 
+// awaitsReplacement reports whether another segment will be quarantined for the crashes of an
+// answered key, unless hosts that are being asked have answered it.
+func (t *Tracker) awaitsReplacement(now, consulted time.Duration, e *evidence) bool {
+	for key, other := range t.evidence {
+		if other == e || other.isRequest() || t.holds[key] != nil || t.isAnswered(key, other) || other.asked(now, consulted) {
+			continue
+		}
+		shared := len(e.crashes) - len(without(e.crashes, other.crashes))
+		if shared >= crashThreshold && now-other.last(1) <= suspicionTime {
+			return true
+		}
+	}
+	return false
+}
+
+// asked reports whether all hosts have been asked whether a key was answered.
+func (e *evidence) asked(now, consulted time.Duration) bool {
+	return e.suspected && (e.suspectedAt <= consulted || now-e.suspectedAt > maxConsultation)
+}
+
 // isAnswered reports whether a key was answered too lately to be what crashes upstreams.
 func (t *Tracker) isAnswered(key Key, e *evidence) bool {
 	at, ok := t.answers[key]
@@ -108,8 +130,7 @@
 		if len(e.crashes) < crashThreshold || t.holds[key] != nil || t.isAnswered(key, e) {
 			continue
 		}
-		asked := e.suspected && (e.suspectedAt <= consulted || now-e.suspectedAt > maxConsultation)
-		if e.isRequest() || asked {
+		if e.isRequest() || e.asked(now, consulted) {
 			keys = append(keys, key)
 			continue
 		}
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -83,3 +83,31 @@
 		t.Error("a key that was answered only before its crashes is not quarantined")
 	}
 }
+
+// Guards against crashes between the moment in which a sound segment is cleared and the one in
+// which the hosts have been asked about the segment that crashes upstreams.
+func TestClearedSegmentIsReplacedAtOnce(t *testing.T) {
+	tracker := NewTracker()
+	now := crashAll(tracker, time.Hour, 3, 1, 2, 3)
+	tracker.Adopt(Quarantine{Key: 3, Until: now + time.Minute})
+	tracker.Quarantined(now, 0) // the other segments are suspected; no host has been asked
+	tracker.Answered(now, 3)
+	now += 200 * time.Millisecond
+	if len(tracker.Quarantined(now, 0)) == 0 {
+		t.Error("nothing is quarantined while hosts are asked")
+	}
+	tracker.Answered(now, 1)
+	keys := quarantinedKeys(tracker, now)
+	if !keys[2] || keys[3] {
+		t.Errorf("quarantined %v after the hosts have been asked, want 2", keys)
+	}
+	tracker = NewTracker()
+	now = crashAll(tracker, time.Hour, 3, 1, 2, 3)
+	tracker.Adopt(Quarantine{Key: 3, Until: now + time.Minute})
+	tracker.Quarantined(now, 0)
+	tracker.Answered(now, 3)
+	now += maxConsultation + 200*time.Millisecond
+	if keys := quarantinedKeys(tracker, now); keys[3] {
+		t.Errorf("quarantined %v, though a host that does not reply is waited for no longer", keys)
+	}
+}
