A trial whose caller left is no failed trial

Cause: a trial whose request ended without an outcome counted as half a failed one, as its engine may have crashed. Callers that leave, or whose deadline is short, end trials like that, and after two failed ones none takes place before the end of the quarantine.

Change: 0.1 s after the end of such a trial the host opens a connection to its engine (which serves the next request, as after an answer without end). If the engine accepts it, the trial has shown nothing, and another request is tried.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,6 +77,9 @@
 	defer func() {
 		if in.trial != nil {
 			in.trial.ran = d.runs > 0
+			if d.ctx.Err() != nil {
+				in.trial.abandoned = d.upstream
+			}
 		}
 	}()
 	in.gateway.exchanger.retryBudget.RecordRequest(in.startedAt, in.service.Name)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -81,7 +81,7 @@
 	stopObserving := in.departure.observe(r.Context(), in.startedAt)
 	defer func() {
 		stopObserving()
-		g.exchanger.quarantine.finishTrial(in.trial)
+		g.finishTrial(in.trial)
 		in.finish()
 	}()
 	if g.draining.Load() {
--- a/internal/gateway/quarantine_trials.go
+++ b/internal/gateway/quarantine_trials.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
 )
@@ -56,6 +58,9 @@
 	ran    bool // the request may have run
 	// uncertain reports that it is known later whether the response was complete.
 	uncertain bool
+	// abandoned is the upstream of a run that ended because the caller left or its time was up;
+	// nil: none.
+	abandoned *catalog.Upstream
 }
 
 // quarantineDecision is the decision on a request.
@@ -262,6 +267,38 @@
 	}
 }
 
+// finishTrial ends a request's part in trials. If its caller left early, the upstream tells
+// whether the run crashed it.
+func (g *Gateway) finishTrial(of *requestTrial) {
+	g.exchanger.quarantine.finishTrial(of)
+	if of == nil || of.abandoned == nil {
+		return
+	}
+	time.AfterFunc(probeDelay, func() {
+		err := confine.Call("look at the upstream of a trial", func() error {
+			if g.connect(of.abandoned) == nil {
+				g.exchanger.quarantine.endInconclusiveTrial(of)
+			}
+			return nil
+		})
+		if err != nil {
+			g.log.Error(err, "Look at the upstream of a trial failed.", "upstream", of.abandoned.ID)
+		}
+	})
+}
+
+// endInconclusiveTrial records that a request whose outcome is not known did not crash its
+// upstream: the trial shows nothing, and another request may be tried.
+func (q *requestQuarantine) endInconclusiveTrial(of *requestTrial) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range of.trials {
+		if t.outcome == quarantine.TrialRunning {
+			t.outcome = quarantine.TrialUnused
+		}
+	}
+}
+
 // finishTrial records that the request of a trial has ended.
 func (q *requestQuarantine) finishTrial(of *requestTrial) {
 	if of == nil {
--- a/internal/gateway/uncertain_ends.go
+++ b/internal/gateway/uncertain_ends.go
@@ -148,13 +148,8 @@
 // probe finds out whether an upstream has ended. The connection that it opens serves the next
 // request. Upstreams in evacuated data centres are left alone.
 func (g *Gateway) probe(of *catalog.Upstream) {
-	if g.registry.evacuations.at(g.registry.now).affects(of) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
 	at := g.exchanger.quarantine.now()
-	switch err := g.connections.Probe(ctx, of.ID, of.Address); {
+	switch err := g.connect(of); {
 	case err == nil:
 		g.uncertainEnds.connected(startOf(of), at)
 	case hasEnded(err):
@@ -162,6 +157,23 @@
 	}
 }
 
+// connect opens a connection to an upstream for its next request, unless it has one.
+func (g *Gateway) connect(to *catalog.Upstream) error {
+	if g.registry.evacuations.at(g.registry.now).affects(to) {
+		return &EvacuatedError{Upstream: to.ID}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return g.connections.Probe(ctx, to.ID, to.Address)
+}
+
+// EvacuatedError reports that nothing is sent to an upstream because its data centre is
+// evacuated.
+type EvacuatedError struct{ Upstream string }
+
+// Error implements error.
+func (e *EvacuatedError) Error() string { return "the data centre of " + e.Upstream + " is evacuated" }
+
 // hasEnded reports whether a failed connection shows that the upstream's process has ended.
 func hasEnded(err error) bool {
 	var closed *upstream.ClosedError
