A request lost beside a crashing segment is cleared

Found by reading the ways in which something sound is refused: a request that is repeated, and was lost three times beside requests that crash engines, explains the same three crashes as their segment and is quarantined first. When the segment is quarantined too, after a fourth crash, the request stays refused for a minute, and may fail its trial.

Change: the quarantine of a request ends if a quarantined segment explains all of its crashes and further ones.

Test: TestRequestLostBesideACrashingSegmentIsCleared failed before.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -77,6 +77,9 @@
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Lifted: true})
 		case e == nil:
+		case t.isOutweighed(e):
+			delete(t.holds, key)
+			t.decide(Decision{Key: key, Request: true, Lifted: true, Crashes: len(e.crashes)})
 		case t.isAnswered(key, e) && t.awaitsReplacement(now, consulted, e):
 			// Nothing would be refused until the hosts have been asked about the other keys.
 		case t.isAnswered(key, e):
@@ -91,6 +94,24 @@
 	}
 }
 
+// isOutweighed reports whether a quarantined segment explains all crashes of a request, and
+// further ones: the request was lost beside others that crash upstreams.
+func (t *Tracker) isOutweighed(e *evidence) bool {
+	if !e.isRequest() {
+		return false
+	}
+	for key := range t.holds {
+		other := t.evidence[key]
+		if other == nil || other.isRequest() {
+			continue
+		}
+		if len(without(e.crashes, other.crashes)) == 0 && len(without(other.crashes, e.crashes)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsReplacement reports whether another segment will be quarantined for the crashes of an
 // answered key, unless hosts that are being asked have answered it.
 func (t *Tracker) awaitsReplacement(now, consulted time.Duration, e *evidence) bool {
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -111,3 +111,36 @@
 		t.Errorf("quarantined %v, though a host that does not reply is waited for no longer", keys)
 	}
 }
+
+// Guards against a sound request that is refused for a minute because its repetitions were lost
+// beside requests that crash upstreams.
+func TestRequestLostBesideACrashingSegmentIsCleared(t *testing.T) {
+	const crashing, repeated = Key(2), Key(77)
+	tracker := NewTracker()
+	now := time.Hour
+	crash := func(beside bool) {
+		now += time.Second
+		id := uint64(now.Milliseconds())
+		run := LostRun{ID: id, Upstream: "e", StartedMS: int64(id), Request: Key(10_000 + id), Segments: []Key{1, crashing}}
+		tracker.Record(now, now, run)
+		if beside {
+			run.ID, run.Request, run.Segments = id+1, repeated, []Key{1}
+			tracker.Record(now, now, run)
+		}
+	}
+	tracker.Answered(now, 1)
+	for range 3 {
+		crash(true)
+		tracker.Answered(now, 1)
+	}
+	if !quarantinedKeys(tracker, now)[repeated] {
+		t.Fatal("the repeated request is not quarantined by crashes that nothing else explains better")
+	}
+	crash(false)
+	tracker.Answered(now, 1)
+	tracker.Quarantined(now, now)
+	now += refreshInterval + time.Millisecond
+	if keys := quarantinedKeys(tracker, now); keys[repeated] || !keys[crashing] {
+		t.Errorf("quarantined %v, want the crashing segment alone", keys)
+	}
+}
