serve: hosts tell peers the crashes behind each quarantine

A host that starts later, or after the one that had reported the crashes was killed, knows the quarantine of a sound segment but nothing to tell it from the one that crashes engines; if it runs the trials of the segment, nothing clears it before its time.

Change: hosts also report the runs that speak for quarantines, their own or not.

Test: TestRestartedHostClearsASoundSegment; the sound request was refused before.

--- a/internal/retry/segments.go
+++ b/internal/retry/segments.go
@@ -21,8 +21,9 @@
 	// minTold is the shortest rest of a quarantine of which peers are told. It exceeds the
 	// time that a message takes, so that hosts do not tell each other of it without end.
 	minTold = time.Second
-	// crashMemory is how long the time of a crash is remembered: longer than it is reported.
-	crashMemory = time.Minute
+	// crashMemory is how long a crash is remembered: longer than a quarantine, as its runs are
+	// reported for so long.
+	crashMemory = 20 * time.Minute
 	// maxReported bounds each list of a report to peers, maxSegments the segments of a run:
 	// of long conversations the latest messages are kept.
 	maxReported = 64
@@ -208,8 +209,9 @@
 	return int64(binary.LittleEndian.Uint64(sum[:]))
 }
 
-// Export returns what to tell peers: recent crashes of this host's runs, which suspected
-// segments were answered lately, and the quarantined segments.
+// Export returns what to tell peers: recent crashes of this host's runs, those of all hosts that
+// speak for quarantines, which suspected segments were answered lately, and the quarantined
+// segments.
 func (s *Segments) Export(now time.Time) CrashReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,6 +223,7 @@
 			ID: r.run.ID, Crash: Crash{Upstream: r.run.Upstream, Boot: r.boot}, Request: r.run.Request, Segments: r.run.Segments, Age: at - r.at,
 		})
 	}
+	report.Runs = append(report.Runs, s.supportingRuns(at)...)
 	maps.DeleteFunc(s.suspectedAt, func(_ quarantine.Key, last time.Duration) bool { return at-last > crashReportWindow })
 	for key := range s.suspectedAt {
 		if answered, ok := s.answers.At(key); ok && at-answered < crashReportWindow && len(report.Answered) < maxReported {
@@ -235,6 +238,32 @@
 	return report
 }
 
+// supportingRuns returns the runs that speak for quarantines, but for those that are reported
+// anyway: a host that has just started can't clear a sound segment without them. It requires s.mu.
+func (s *Segments) supportingRuns(now time.Duration) []CrashedRun {
+	supporting := s.tracker.SupportingRuns(now, notConsulted)
+	if len(supporting) == 0 {
+		return nil
+	}
+	type start struct {
+		upstream  string
+		startedMS int64
+	}
+	crashes := map[start]Crash{}
+	for crash := range s.crashedAt {
+		crashes[start{crash.Upstream, bootNumber(crash.Boot)}] = crash
+	}
+	var runs []CrashedRun
+	for _, run := range supporting {
+		crash, known := crashes[start{run.Upstream, run.StartedMS}]
+		isRecent := slices.ContainsFunc(s.recent, func(r reportedRun) bool { return r.run.ID == run.ID })
+		if known && !isRecent && len(runs) < maxReported {
+			runs = append(runs, CrashedRun{ID: run.ID, Crash: crash, Request: run.Request, Segments: run.Segments, Age: now - run.At})
+		}
+	}
+	return runs
+}
+
 // Merge adds what a peer reported.
 func (s *Segments) Merge(now time.Time, report CrashReport) {
 	s.mu.Lock()
--- a/internal/retry/trials_test.go
+++ b/internal/retry/trials_test.go
@@ -98,3 +98,37 @@
 		t.Error("the segment that crashes upstreams is admitted")
 	}
 }
+
+// Guards against a sound segment that is refused for the whole time of its quarantine because the
+// host that runs its trials has just started: it knows the quarantine, but the host that had
+// reported the crashes is gone, or did so too long ago.
+func TestRestartedHostClearsASoundSegment(t *testing.T) {
+	const behind quarantine.Key = 99
+	lost, witness, restarted, now := newSegmentHost(t), newSegmentHost(t), newSegmentHost(t), time.Now()
+	for i := range 3 {
+		boot := fmt.Sprint("boot-", i)
+		lost.run(now, "e1", commonSegment, badSegment, behind).ConnectionLost(now)
+		lost.Crashed(now, "e1", boot)
+		lost.tellsOf(now, witness)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(crashReportWindow)
+	witness.expect(now, "after three crashes", behind, true)
+	witness.tellsOf(now, restarted)
+	now = now.Add(2 * time.Second)
+	if ok, _ := restarted.admits(now, commonSegment, badSegment, behind); ok {
+		t.Error("a request that crashes upstreams was admitted")
+	}
+	ok, trial := restarted.admits(now, commonSegment, behind)
+	if !ok {
+		t.Fatal("the sound request was refused")
+	}
+	restarted.run(now, "e2", commonSegment, behind).Completed(now)
+	trial.End(now, true)
+	restarted.tellsOf(now, witness)
+	now = now.Add(2 * time.Second)
+	for name, h := range map[string]*segmentHost{"witness": witness, "restarted": restarted} {
+		h.expect(now, name+", after an answer", behind, false)
+		h.expect(now, name+", after an answer", badSegment, true)
+	}
+}
