serve: unasked answers and overlong events are no crash

A sound request could be isolated, or refused as one that crashes engines: an event or a body that is too long and a response that came before its request counted as a lost connection, so that a crash of the upstream within 5 s was held against the request.

Change: classify names both, as it does malformed heads and bodies.

--- a/internal/inference/errors.go
+++ b/internal/inference/errors.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/refusal"
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 // CallerGoneError reports that the response could not be written to the caller.
@@ -84,6 +85,8 @@
 	var silent *SilentError
 	var mismatch *engine.MismatchError
 	var malformed *stricthttp.MalformedError
+	var violation *engine.ProtocolError
+	var unasked *transport.UnaskedError
 	switch {
 	case errors.As(err, &unsent):
 		return retry.ConnectFailed
@@ -93,7 +96,7 @@
 		return retry.UpstreamError
 	case errors.As(err, &silent):
 		return retry.Silent
-	case errors.As(err, &mismatch), errors.As(err, &malformed):
+	case errors.As(err, &mismatch), errors.As(err, &malformed), errors.As(err, &violation), errors.As(err, &unasked):
 		return retry.ProtocolError
 	default:
 		return retry.ConnectionLost
--- a/internal/inference/inference_test.go
+++ b/internal/inference/inference_test.go
@@ -16,6 +16,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 	"github.com/arbutusbank/arbutusbank/internal/routing"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 // Guards against settling a number of tokens other than the engine reported.
@@ -97,6 +98,8 @@
 		"answer lost":            {&engine.UnknownOutcomeError{Cause: io.EOF}, true},
 		"malformed head":         {&engine.UnknownOutcomeError{Cause: &stricthttp.MalformedError{}}, false},
 		"malformed body":         {&engine.InterruptedError{Cause: &stricthttp.MalformedError{}}, false},
+		"event too long":         {&engine.InterruptedError{Cause: &engine.ProtocolError{}}, false},
+		"unasked answer":         {&engine.UnknownOutcomeError{Cause: &transport.UnaskedError{}}, false},
 		"another call's answer":  {&engine.MismatchError{}, false},
 		"answered with an error": {&engine.RefusedError{Status: http.StatusInternalServerError}, false},
 	} {
--- a/internal/service/executor.go
+++ b/internal/service/executor.go
@@ -21,6 +21,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 	"github.com/arbutusbank/arbutusbank/internal/routing"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 const (
@@ -407,10 +408,11 @@
 	var tooLarge *ResponseTooLargeError
 	var mismatch *MismatchError
 	var malformed *stricthttp.MalformedError
+	var unasked *transport.UnaskedError
 	switch {
 	case errors.As(err, &unsent):
 		return retry.ConnectFailed
-	case errors.As(err, &tooLarge), errors.As(err, &mismatch), errors.As(err, &malformed):
+	case errors.As(err, &tooLarge), errors.As(err, &mismatch), errors.As(err, &malformed), errors.As(err, &unasked):
 		return retry.ProtocolError
 	case errors.Is(err, context.DeadlineExceeded):
 		return retry.TimedOut
--- a/internal/service/executor_test.go
+++ b/internal/service/executor_test.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/retry"
 	"github.com/arbutusbank/arbutusbank/internal/routing"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
+	"github.com/arbutusbank/arbutusbank/internal/transport"
 )
 
 // Guards against a crash that is held against a call because its worker, which crashed later, had
@@ -23,6 +24,7 @@
 	}{
 		"connection lost":       {io.ErrUnexpectedEOF, true},
 		"malformed":             {&stricthttp.MalformedError{}, false},
+		"unasked answer":        {&transport.UnaskedError{}, false},
 		"another call's answer": {&MismatchError{}, false},
 		"deadline":              {context.DeadlineExceeded, false},
 		"caller gone":           {context.Canceled, false},
