--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -67,9 +67,13 @@
 	}
 	r.exchanges[request.Host] = exchangeTimes{previous: r.exchanges[request.Host].latest, latest: now}
 	for _, q := range request.Quarantines {
-		r.tracker.Adopt(quarantine.Quarantine{
+		added := r.tracker.Adopt(quarantine.Quarantine{
 			Key: q.Key, Until: now + milliseconds(q.RemainingMS), FailedTrials: max(0, q.FailedTrials), Alternatives: q.Alternatives,
 		})
+		if added {
+			r.log.Info("Quarantine taken over.", "key", strconv.FormatUint(uint64(q.Key), 16), "host", request.Host, "for_ms", q.RemainingMS,
+				"failed_trials", q.FailedTrials, "alternatives", len(q.Alternatives), "lost_runs", len(request.LostRuns))
+		}
 	}
 	for _, lost := range request.LostRuns {
 		r.tracker.Record(now, now-milliseconds(lost.AgeMS), lost.LostRun)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -267,8 +267,9 @@
 	t.changed = true
 }
 
-// Adopt records a quarantine that another tracker has decided.
-func (t *Tracker) Adopt(q Quarantine) {
+// Adopt records a quarantine that another tracker has decided. It reports whether the key was
+// not quarantined.
+func (t *Tracker) Adopt(q Quarantine) (added bool) {
 	t.changed = true
 	if h := t.holds[q.Key]; h != nil {
 		h.until = max(h.until, q.Until)
@@ -276,11 +277,12 @@
 		if q.FailedTrials > h.failed {
 			h.failed, h.duration = q.FailedTrials, DurationAfter(q.FailedTrials)
 		}
-		return
+		return false
 	}
 	h := newHold(q.Until, q.FailedTrials)
 	h.adoptAlternatives(q.Alternatives)
 	t.hold(q.Key, h)
+	return true
 }
 
 func (t *Tracker) hold(key Key, h *hold) {
