--- a/tests/crashes/soak_test.go
+++ b/tests/crashes/soak_test.go
@@ -49,6 +49,54 @@
 	}
 }
 
+// Guards against a sound segment that is refused to the end because the coordinator that is killed
+// had lost all runs that crashes ended: the next one knew the quarantine and not its crashes.
+func TestKilledCoordinatorKnewTheCrashes(t *testing.T) {
+	t.Parallel()
+	const killAfter, soundAfter = 3 * time.Second, 5 * time.Second // after the first crash
+	s := &soak{random: rand.New(rand.NewPCG(1, 1)), inTouch: map[string]bool{}}
+	s.fleet = newFleet(t, 4, soakEngines, "bad", s.recordCrash)
+	s.repeat(2*time.Second, 100*time.Millisecond, 1, func(h *host, i int) {
+		s.send(h, fmt.Sprintf("calm-%d", i), fmt.Sprintf("first:50,other:40,calm%d:10", i))
+	})
+	coordinator := s.coordinator()
+	if coordinator == nil {
+		t.Fatal("no coordinator")
+	}
+	killed, ended := make(chan struct{}), make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		s.repeatUntil(ended, 100*time.Millisecond, 2, func(h *host, i int) {
+			select {
+			case <-killed:
+			default:
+				h = coordinator
+			}
+			s.send(h, fmt.Sprintf("bad-%d", i), fmt.Sprintf("first:50,bad:20,behind:40,own%d:10", i))
+		})
+	})
+	time.Sleep(time.Second + killAfter)
+	if !coordinator.beginDisturbance() {
+		t.Fatal("the coordinator is disturbed already")
+	}
+	coordinator.kill()
+	close(killed)
+	time.Sleep(soundAfter - killAfter)
+	calmFrom := time.Now()
+	group.Go(func() {
+		s.repeatUntil(ended, 100*time.Millisecond, 3, func(h *host, i int) {
+			s.sendSound(h, fmt.Sprintf("sound-%d", i), fmt.Sprintf("first:50,behind:40,own-s%d:10", i))
+		})
+	})
+	time.Sleep(clearBound + observedTime)
+	close(ended)
+	group.Wait()
+	if len(s.crashes) < 3 {
+		t.Fatalf("only %d crashes", len(s.crashes))
+	}
+	s.check(calmFrom.Add(clearBound))
+}
+
 // soak is one run.
 type soak struct {
 	*fleet
@@ -79,6 +127,7 @@
 			s.send(h, fmt.Sprintf("calm-%d", i), fmt.Sprintf(calm, i))
 		})
 	}
+	coordinator := s.coordinator()
 	begin := time.Now()
 	soundFrom := begin.Add(time.Duration(s.random.Int64N(int64(5 * time.Second))))
 	atCoordinator := s.random.IntN(2) == 0
@@ -87,8 +136,8 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		s.repeatUntil(ended, 100*time.Millisecond, badSeed, func(h *host, i int) {
-			if c := s.coordinator(); c != nil && atCoordinator && time.Since(begin) < time.Second {
-				h = c
+			if coordinator != nil && atCoordinator && time.Since(begin) < time.Second {
+				h = coordinator
 			}
 			s.send(h, fmt.Sprintf("bad-%d", i), fmt.Sprintf(bad, i))
 		})
@@ -100,7 +149,7 @@
 		})
 	})
 	time.Sleep(time.Second + time.Duration(s.random.Int64N(int64(3*time.Second))))
-	s.disturb()
+	s.disturb(atCoordinator)
 	calmFrom := latest(time.Now(), soundFrom)
 	time.Sleep(time.Until(calmFrom.Add(clearBound + observedTime)))
 	close(ended)
@@ -190,16 +239,20 @@
 }
 
 // disturb does a random number of things to hosts, preferably to the one that coordinates. They
-// follow one another or overlap. It returns when all have ended and their hosts are ready.
-func (s *soak) disturb() {
+// follow one another or overlap. With killFirst the first one is that the coordinator is killed.
+// It returns when all have ended.
+func (s *soak) disturb(killFirst bool) {
 	var group sync.WaitGroup
-	for range s.random.IntN(5) {
+	for n := range 1 + s.random.IntN(5) {
 		h := s.hosts[s.random.IntN(len(s.hosts))]
 		if c := s.coordinator(); c != nil && s.random.IntN(3) > 0 {
 			h = c
 		}
 		lasts := time.Second + time.Duration(s.random.Int64N(int64(3*time.Second)))
 		kind := s.random.IntN(4)
+		if c := s.coordinator(); c != nil && killFirst && n == 0 {
+			h, kind = c, 0
+		}
 		pause := time.Duration(s.random.Int64N(int64(4 * time.Second)))
 		if !h.beginDisturbance() {
 			continue
