quarantine: compute the supporting runs only after changes

They were computed at each evaluation, ten times a second, though only a new lost run or quarantine adds to them; a host with a fifth of a core and many quarantines, as when a data centre is cut off, would pay for the sorting.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -204,7 +204,9 @@
 			t.trials = append(t.trials, offer)
 		}
 	}
-	t.supporting = t.supportingRuns()
+	if t.supportingStale {
+		t.supporting, t.supportingStale = t.supportingRuns(), false
+	}
 	slices.SortFunc(t.trials, func(a, b Trial) int { return cmp.Compare(a.Key, b.Key) })
 	for key, e := range t.evidence {
 		suspected := len(e.crashes) >= suspicionThreshold && now-e.last(1) <= suspicionTime && t.holds[key] == nil && !t.isAnswered(key, e)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -173,7 +173,9 @@
 	suspected   []Key
 	unanswered  []Key      // segments with crashes, in the order of prompts; computed with trials
 	supporting  []TimedRun // that speak for the quarantines
-	decisions   []Decision // not yet taken
+	// supportingStale reports that crashes or quarantines were added since supporting was computed.
+	supportingStale bool
+	decisions       []Decision // not yet taken
 }
 
 // NewTracker returns an empty tracker.
@@ -195,7 +197,7 @@
 		return
 	}
 	of.runs = append(of.runs, run)
-	t.changed = true
+	t.changed, t.supportingStale = true, true
 	t.addEvidence(of, run)
 	if len(t.crashes) > maxCrashes {
 		t.crashes = t.crashes[droppedCrashes:]
@@ -287,6 +289,7 @@
 
 func (t *Tracker) hold(key Key, h *hold) {
 	t.holds[key] = h
+	t.supportingStale = true
 	if len(t.holds) <= maxQuarantined {
 		return
 	}
