--- a/internal/coordinator/late_orders_test.go
+++ b/internal/coordinator/late_orders_test.go
@@ -40,27 +40,35 @@
 	return engine
 }
 
+// executeBeforeAdapter makes an engine execute an order of an earlier coordinator right before it
+// checks the first order for an adapter. The result reports, under engine.mu, whether it has.
+func executeBeforeAdapter(engine *fakeEngine, execute func(models map[string][]string)) (executed *bool) {
+	executed = new(bool)
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.beforeOrder = func(e *fakeEngine, order Order) {
+		if order.Adapter == "" || *executed {
+			return
+		}
+		*executed = true
+		e.holdings.OrderSeq++
+		execute(e.holdings.Models)
+	}
+	return executed
+}
+
 // Guards against a load that was decided before an order of an earlier coordinator was carried
 // out late: the prefetch of an adapter read the new order count, and the engine, ordered to hold
 // 240,000 MB of 200,000 MB, crashed.
 func TestLateLoadBeforeAPrefetchVoidsTheLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := startWithAdapterDemand(t, 2)
-		lateExecuted := false
-		engine.mu.Lock()
-		engine.beforeOrder = func(e *fakeEngine, order Order) {
-			if order.Adapter != "" && !lateExecuted {
-				lateExecuted = true
-				e.holdings.OrderSeq++
-				e.holdings.Models["m2"] = nil
-			}
-		}
-		engine.mu.Unlock()
+		lateExecuted := executeBeforeAdapter(engine, func(models map[string][]string) { models["m2"] = nil })
 		time.Sleep(5 * time.Second)
 		engine.mu.Lock()
 		defer engine.mu.Unlock()
-		if !lateExecuted || len(engine.violations) > 0 {
-			t.Errorf("late order executed: %v; engine ordered to hold %v", lateExecuted, engine.violations)
+		if !*lateExecuted || len(engine.violations) > 0 {
+			t.Errorf("late order executed: %v; engine ordered to hold %v", *lateExecuted, engine.violations)
 		}
 	})
 }
@@ -70,22 +78,13 @@
 func TestLateUnloadBeforeAPrefetchVoidsTheUnload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := startWithAdapterDemand(t, 3)
-		lateExecuted := false
-		engine.mu.Lock()
-		engine.beforeOrder = func(e *fakeEngine, order Order) {
-			if order.Adapter != "" && !lateExecuted {
-				lateExecuted = true
-				e.holdings.OrderSeq++
-				delete(e.holdings.Models, "m2")
-			}
-		}
-		engine.mu.Unlock()
+		lateExecuted := executeBeforeAdapter(engine, func(models map[string][]string) { delete(models, "m2") })
 		time.Sleep(5 * time.Second)
 		engine.mu.Lock()
 		defer engine.mu.Unlock()
 		unloads := slices.ContainsFunc(engine.accepted, func(o Order) bool { return o.Unload && o.Adapter == "" })
-		if !lateExecuted || unloads || !engine.holdings.Holds("m1") {
-			t.Errorf("late order executed: %v; orders %+v", lateExecuted, engine.accepted)
+		if !*lateExecuted || unloads || !engine.holdings.Holds("m1") {
+			t.Errorf("late order executed: %v; orders %+v", *lateExecuted, engine.accepted)
 		}
 	})
 }
--- a/tests/crashes/process_test.go
+++ b/tests/crashes/process_test.go
@@ -21,6 +21,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/platform"
 	"github.com/arbutusbank/arbutusbank/platform/platformtest"
+	"github.com/arbutusbank/arbutusbank/tests/testbinary"
 )
 
 const (
@@ -33,22 +34,7 @@
 // binary is the path of the program, which TestMain builds.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "arbutusbank-crashes-*")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	binary = filepath.Join(directory, "arbutusbank")
-	if output, err := exec.Command("go", "build", "-o", binary, "github.com/arbutusbank/arbutusbank/cmd/arbutusbank").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v: %s", err, output)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testbinary.Run(m, &binary)) }
 
 // host is a host of the fleet: a process, and after a restart another one.
 type host struct {
--- a/tests/faults/process_test.go
+++ b/tests/faults/process_test.go
@@ -13,29 +13,13 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/fleet"
+	"github.com/arbutusbank/arbutusbank/tests/testbinary"
 )
 
 // hostBinary is the path of the host binary that TestMain builds.
 var hostBinary string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "arbutusbank-faults-*")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	hostBinary = filepath.Join(directory, "arbutusbank")
-	build := exec.Command("go", "build", "-o", hostBinary, "github.com/arbutusbank/arbutusbank/cmd/arbutusbank")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "build the host:", err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testbinary.Run(m, &hostBinary)) }
 
 // process is an entry host that runs as a separate process. It implements
 // fleet.RunningHost.
