A late reply moves a quarantine to the segment that nobody has answered

Cause, by reading with a busy machine in mind: of segments that explain the same crashes the one that nobody has answered is quarantined, but hosts are waited for for a second only.

Change: a quarantined segment that turns out to have been answered is lifted if one that was never answered explains all of its crashes; that one is quarantined in the same step.

Test: TestLateAnswerMovesTheQuarantine failed before.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -77,6 +77,9 @@
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Lifted: true})
 		case e == nil:
+		case answered && t.hasLikelierSegment(now, consulted, e):
+			delete(t.holds, key)
+			t.decide(Decision{Key: key, Request: e.isRequest(), Lifted: true, Crashes: len(e.crashes)})
 		case t.isOutweighed(e):
 			delete(t.holds, key)
 			t.decide(Decision{Key: key, Request: true, Lifted: true, Crashes: len(e.crashes)})
@@ -94,6 +97,25 @@
 	}
 }
 
+// hasLikelierSegment reports whether a segment that was never answered explains all crashes of a
+// quarantined segment that was, however long ago. A host's answers may arrive after the decision,
+// as it is not waited for longer than maxConsultation.
+func (t *Tracker) hasLikelierSegment(now, consulted time.Duration, e *evidence) bool {
+	if e.isRequest() || len(e.crashes) < crashThreshold {
+		return false
+	}
+	for key, other := range t.evidence {
+		_, answered := t.answers[key]
+		if other == e || answered || other.isRequest() || t.holds[key] != nil || !other.asked(now, consulted) {
+			continue
+		}
+		if len(without(e.crashes, other.crashes)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isOutweighed reports whether a quarantined segment explains all crashes of a request, and
 // further ones: the request was lost beside others that crash upstreams.
 func (t *Tracker) isOutweighed(e *evidence) bool {
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -144,3 +144,23 @@
 		t.Errorf("quarantined %v, want the crashing segment alone", keys)
 	}
 }
+
+// Guards against a sound segment that is refused because the host that had answered it, longer ago
+// than answerWindow, replied too late: it was asked, but is not waited for longer than a second.
+func TestLateAnswerMovesTheQuarantine(t *testing.T) {
+	const first, crashing, behind = Key(1), Key(2), Key(3)
+	tracker := NewTracker()
+	now := crashAll(tracker, time.Hour, 3, first, crashing, behind)
+	tracker.Quarantined(now, 0)
+	now += maxConsultation + refreshInterval
+	if held := tracker.Quarantined(now, 0); len(held) != 1 || held[0].Key != behind {
+		t.Fatalf("quarantined %v without any reply, want the last segment", held)
+	}
+	now += time.Second
+	answeredAt := time.Hour - 14*time.Second
+	tracker.Answered(answeredAt, behind)
+	tracker.Answered(answeredAt, first)
+	if keys := quarantinedKeys(tracker, now); keys[behind] || keys[first] || !keys[crashing] {
+		t.Errorf("quarantined %v after the late reply, want the segment that nobody has answered", keys)
+	}
+}
