A failed trial speaks against the segment that its request lacked

Cause: requests that lack one of several segments may be tried, and the ones that crash engines come more often than sound ones. A trial without bb crashed its engine, which shows that bb is not the cause, yet the next trial could lack bb again; after two failed trials none takes place before the end.

Change: after a failed trial, groups of segments that were not in its crash no longer tell requests apart, unless no group is left.

Test: TestFailedTrialSpeaksAgainstItsAlternative failed before.

--- a/internal/gateway/quarantine_clear_test.go
+++ b/internal/gateway/quarantine_clear_test.go
@@ -30,6 +30,7 @@
 	const first, crashing, behind = quarantine.Key(1), quarantine.Key(2), quarantine.Key(3)
 	sound := []quarantine.Key{first, behind}
 	bad := [][]quarantine.Key{{first, crashing, behind}, {crashing, first, behind}, {first, behind, crashing}}[s.random.IntN(3)]
+	also := [][]quarantine.Key{bad, bad, {first, crashing}, {crashing}}[s.random.IntN(4)] // crash engines, too
 	calm := [][]quarantine.Key{nil, {first, 4}, sound}[s.random.IntN(3)]
 	begin := s.now + 4*time.Second
 	for s.now < begin {
@@ -49,7 +50,7 @@
 	for s.now < max(lastDisturbed, soundFrom)+clearBound+12*time.Second {
 		s.step()
 		if s.random.IntN(10) == 0 {
-			s.send(bad, true)
+			s.send([][]quarantine.Key{bad, also}[s.random.IntN(2)], true)
 		}
 		if s.now >= soundFrom && s.random.IntN(15) == 0 {
 			s.send(sound, false)
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -164,3 +164,26 @@
 		t.Errorf("quarantined %v after the late reply, want the segment that nobody has answered", keys)
 	}
 }
+
+// Guards against trials that all go to requests which crash upstreams: they lack a segment that
+// stood in most of the crashes, and the trial that clears the sound segment took place no more.
+func TestFailedTrialSpeaksAgainstItsAlternative(t *testing.T) {
+	const sound, crashing, other = Key(1), Key(2), Key(3)
+	tracker := NewTracker()
+	now := crashAll(tracker, time.Hour, 3, crashing, sound, other)
+	now = crashAll(tracker, now+time.Second, 1, sound, crashing)
+	tracker.Adopt(Quarantine{Key: sound, Until: now + time.Minute})
+	tracker.Quarantined(now, now)
+	tracker.BeginTrial(now, now, "host", sound)
+	trials := tracker.Trials(now, now)
+	if len(trials) != 1 || len(trials[0].Without) != 2 || trials[0].Host != "host" {
+		t.Fatalf("trials %+v, want one that any of two segments tells apart", trials)
+	}
+	now = crashAll(tracker, now+time.Second, 1, sound, crashing) // a request without the other segment
+	tracker.ReportTrial(now, "host", sound, trials[0].ID, TrialLost)
+	now += refreshInterval + time.Millisecond
+	trials = tracker.Trials(now, now)
+	if len(trials) != 1 || len(trials[0].Without) != 1 || trials[0].Without[0][0] != crashing {
+		t.Errorf("trials %+v after a crash without the other segment, want requests without the crashing one only", trials)
+	}
+}
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -119,9 +119,33 @@
 	if len(others) > 0 && len(left) < crashThreshold {
 		groups = append(groups, others)
 	}
+	groups = t.withoutRefuted(groups, key, e)
 	return groups[:min(len(groups), maxWithout)]
 }
 
+// withoutRefuted returns the groups that the failed trials of a key do not speak against, or all
+// if they speak against each: an upstream may have crashed for another reason.
+func (t *Tracker) withoutRefuted(groups [][]Key, key Key, e *evidence) [][]Key {
+	h := t.holds[key]
+	if h == nil || h.failed == 0 {
+		return groups
+	}
+	trials := e.crashes[max(0, len(e.crashes)-h.failed):]
+	left := slices.DeleteFunc(slices.Clone(groups), func(group []Key) bool { return t.isRefuted(group, trials) })
+	if len(left) == 0 {
+		return groups
+	}
+	return left
+}
+
+// isRefuted reports whether one of the crashes of failed trials had no key of a group: another
+// request without the group would show no more, and crash another upstream.
+func (t *Tracker) isRefuted(group []Key, trials []*crash) bool {
+	return slices.ContainsFunc(trials, func(c *crash) bool {
+		return !slices.ContainsFunc(group, func(key Key) bool { return slices.Contains(t.evidence[key].crashes, c) })
+	})
+}
+
 // unansweredSegments returns the segments that may be what crashes upstreams, in the order of
 // prompts.
 func (t *Tracker) unansweredSegments() []Key {
