upstream: a part of a response under a failed upload is not whole

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body, and reset the connection or closed it with unread bytes while the upload was still being written. The caller got that part as a complete answer, or as a complete stream.

Cause: a socket reports the failure of a connection once. A long request is written beside the reading of the response; if the write got ECONNRESET (or ETIMEDOUT of TCP_USER_TIMEOUT), the next read saw an end, which is how a response without a length or chunks ends.

Change: such a response is complete only if the request could be written, too; Response.Read waits for the end of the write. Whatever ends the request (caller, deadline, host's stop) closes the connection, and so ends the wait. Responses with a length or chunks are read as before. Discard reads nothing of a response that ends with its connection: its connection is not used again, and a refusal is in its head.

--- a/internal/stricthttp/stricthttptest/server.go
+++ b/internal/stricthttp/stricthttptest/server.go
@@ -15,6 +15,12 @@
 // Serve answers each request with the text of a function and keeps the connection. It returns
 // the address.
 func Serve(t testing.TB, answer func(*http.Request) string) (address string) {
+	t.Helper()
+	return serve(t, func(conn net.Conn) { serveConn(conn, answer) })
+}
+
+// serve serves each connection with a function, after which it is closed.
+func serve(t testing.TB, serveConn func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,14 +33,16 @@
 			if err != nil {
 				return // the test ends
 			}
-			go serveConn(conn, answer)
+			go func() {
+				defer conn.Close()
+				serveConn(conn)
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
 func serveConn(conn net.Conn, answer func(*http.Request) string) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -36,7 +36,7 @@
 	key            string
 	id             string // of the request
 	method         string
-	bodyWrite      chan error // result of writing a long body; nil for short ones
+	bodyWrite      *bodyWrite // nil for short bodies
 	stopCancelHook func() bool
 	complete       bool
 }
@@ -100,26 +100,42 @@
 // IncompleteResponseError if the connection ended before, or the body or the trailer is malformed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.head.Body.Read(p)
-	switch {
-	case err == nil:
+	if err == nil {
 		return n, nil
-	case errors.Is(err, io.EOF):
-		malformed := stricthttp.CheckTrailer(r.head.Trailer)
-		if malformed == nil {
+	}
+	if errors.Is(err, io.EOF) {
+		failure := r.checkEnd()
+		if failure == nil {
 			r.complete = true
-			return n, err
+			return n, io.EOF
 		}
-		err = malformed
+		err = failure
 	}
 	incomplete := r.conn.readError(err)
 	incomplete.HeaderReceived = true
 	return n, incomplete
 }
 
+// checkEnd returns an error if the body is not complete although net/http has met its end. A
+// response that ends with its connection is complete only if the request could be written, too: the
+// socket reports the failure of a connection once, to the writer or to the reader.
+func (r *Response) checkEnd() error {
+	if err := stricthttp.CheckTrailer(r.head.Trailer); err != nil {
+		return err
+	}
+	if r.HasEnd() {
+		return nil
+	}
+	return r.bodyWrite.wait()
+}
+
 // Discard reads the rest of the body, so that the connection can be used again. It gives
 // up after maxDiscardBytes or discardTimeout; the connection is closed then. It returns
-// the errors of Read.
+// the errors of Read. Of a response that ends with its connection it reads nothing.
 func (r *Response) Discard() error {
+	if !r.HasEnd() {
+		return nil
+	}
 	if err := r.conn.socket.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
 		return &IncompleteResponseError{HeaderReceived: true, Cause: err}
 	}
@@ -135,7 +151,7 @@
 // Close returns the connection to the pool if the response was read completely,
 // otherwise it closes the connection.
 func (r *Response) Close() {
-	if !r.stopCancelHook() || !r.complete || r.head.Close || r.conn.tainted || len(r.conn.refused) >= maxRefused || r.conn.reader.Buffered() > 0 || !r.bodyWriteDone() {
+	if !r.stopCancelHook() || !r.complete || r.head.Close || r.conn.tainted || len(r.conn.refused) >= maxRefused || r.conn.reader.Buffered() > 0 || !r.bodyWrite.succeeded() {
 		r.conn.close()
 		return
 	}
@@ -148,19 +164,6 @@
 	r.pool.put(r.key, r.conn)
 }
 
-// bodyWriteDone reports whether the request's body has been written completely.
-func (r *Response) bodyWriteDone() bool {
-	if r.bodyWrite == nil {
-		return true
-	}
-	select {
-	case err := <-r.bodyWrite:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // idleTimeOf returns how long the connection may stay idle before it is reused, from
 // the response's Keep-Alive header.
 func idleTimeOf(header http.Header) time.Duration {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,12 +69,7 @@
 		_, err := r.conn.socket.Write(append(header, request.Body...))
 		return err
 	}
-	r.bodyWrite = make(chan error, 1)
-	go func() {
-		buffers := net.Buffers{header, request.Body}
-		_, err := buffers.WriteTo(r.conn.socket)
-		r.bodyWrite <- err
-	}()
+	r.bodyWrite = startBodyWrite(r.conn.socket, header, request.Body)
 	return nil
 }
 
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -42,6 +42,7 @@
 	ledgers       []*platformtest.Worker
 	configVersion int
 	models        int // number of models in the configuration
+	bodyBytes     int // limit of a request's body in the configuration
 	// coldPerS is the rate that cold workers of the service "ledger" take, per second; 0: they
 	// are not limited.
 	coldPerS float64
@@ -101,7 +102,7 @@
 func newTestFleet(t *testing.T, hosts int) *testFleet {
 	t.Helper()
 	t.Parallel()
-	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}, models: 6}
+	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}, models: 6, bodyBytes: 4096}
 	t.Cleanup(f.store.Close)
 	f.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	f.ledgers = []*platformtest.Worker{
@@ -151,7 +152,7 @@
 			}},
 			map[string]any{"name": "ledger", "maxConns": 100, "coldStartS": 3, "coldPerS": f.coldPerS},
 		},
-		"limits": map[string]any{"bodyBytes": 4096},
+		"limits": map[string]any{"bodyBytes": f.bodyBytes},
 		"tenants": []any{map[string]any{
 			"name": "curators", "apiKeys": keys, "priority": 1, "unit": "token_stream", "plainTokens": 100, "perS": 40000, "burst": 40000,
 		}},
--- a/tests/gateway/raw_test.go
+++ b/tests/gateway/raw_test.go
@@ -20,7 +20,9 @@
 	id      string
 	address string
 	answer  func(conn net.Conn, request *http.Request)
-	entry   map[string]any
+	// early makes it answer before it has read the body, and once on each connection.
+	early bool
+	entry map[string]any
 
 	mu   sync.Mutex
 	runs []*rawRun
@@ -48,12 +50,18 @@
 
 // addRawWorker starts a worker of a service, beside those that it has.
 func (f *testFleet) addRawWorker(id, service string, answer func(net.Conn, *http.Request)) *rawWorker {
+	f.t.Helper()
+	return f.startRawWorker(&rawWorker{id: id, answer: answer}, service)
+}
+
+// startRawWorker starts a worker with an ID and an answer.
+func (f *testFleet) startRawWorker(w *rawWorker, service string) *rawWorker {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", f.loopback+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	w := &rawWorker{id: id, address: listener.Addr().String(), answer: answer}
+	w.address = listener.Addr().String()
 	f.t.Cleanup(func() { _ = listener.Close() })
 	go w.serve(listener)
 	w.entry = f.ledgers[0].Entry("ready")
@@ -126,16 +134,22 @@
 		if err != nil {
 			return // the host disconnected
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
+		control := strings.HasPrefix(request.URL.Path, "/arbutusbank/")
+		if !w.early || control {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
 		}
-		if strings.HasPrefix(request.URL.Path, "/arbutusbank/") {
+		if control {
 			answerControl(conn, request)
 			continue
 		}
 		run := w.begin(request.Header.Get("Request-Id"))
 		w.answer(conn, request)
 		w.end(run)
+		if w.early {
+			return
+		}
 	}
 }
 
