transport: a part of a response under a failed upload is not whole

Control calls and both stores read through the same transport.

Cause: as at the pool, the write of the request gets the only report of the failure, and the next read an end. Besides, http.Transport closes the connection at the end of such a response: a worker that had half-closed it and read on got only a part of the upload.

Change: the connection holds back the end of a response without a length or chunks until the request has been written, and returns the error of the write in its place if that failed. Closing the connection, as the end of a call does, ends the wait.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -33,7 +33,7 @@
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GetConn: e.beginAttempt, GotConn: e.useConn}
+	return &httptrace.ClientTrace{GetConn: e.beginAttempt, GotConn: e.useConn, WroteRequest: e.endWrite}
 }
 
 // beginAttempt ends the call if an earlier attempt may have reached the upstream.
@@ -52,10 +52,13 @@
 		_ = e.conn.Close() // the end of the call may not have been noticed yet
 		return
 	}
-	e.conn.wrote.Store(false)
-	e.head, _ = e.conn.reader.ExpectHead(nil) // an error fails the next read, too
+	e.head = e.conn.beginCall()
 }
 
+// endWrite records that http.Transport has written the request, or failed to. It does not begin
+// another attempt before that.
+func (e *exchange) endWrite(info httptrace.WroteRequestInfo) { e.conn.request.Load().end(info.Err) }
+
 // RoundTrip implements http.RoundTripper. It returns the errors of http.Transport, a
 // stricthttp.MalformedError, an UnaskedError or a ClosedError.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -75,11 +78,17 @@
 		cancel()
 		return nil, &UnaskedError{}
 	}
+	call.conn.unframed.Store(endsWithConnection(response))
 	response.Request = request
 	response.Body = &body{ReadCloser: response.Body, response: response, conn: call.conn, cancel: cancel}
 	return response, nil
 }
 
+// endsWithConnection reports whether a response does not state where its body ends.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // body is the body of a response.
 type body struct {
 	io.ReadCloser
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,10 +6,7 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
-
-	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
 )
 
 // MaxHeaderBytes bounds the header of a response.
@@ -38,50 +35,12 @@
 	}}
 }
 
-// checkedConn is a connection whose responses are checked.
-type checkedConn struct {
-	net.Conn
-	reader      *stricthttp.Reader
-	wrote       atomic.Bool // a part of the current call has been written
-	writeFailed atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *checkedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
-
-// Write implements net.Conn.
-func (c *checkedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if n > 0 {
-		c.wrote.Store(true)
-	}
-	if err != nil {
-		c.writeFailed.Store(true)
-	}
-	return n, err
-}
-
 func checkedDial(dial DialContext) DialContext {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		socket, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: socket, reader: stricthttp.NewReader(socket)}, nil
-	}
-}
-
-// cause returns what made a call fail, in which net/http met err: a MalformedError, or err if the
-// call ended or its connection failed.
-func (c *checkedConn) cause(ctx context.Context, err error) error {
-	if c == nil {
-		return err // no connection
-	}
-	if malformed := c.reader.Err(); malformed != nil {
-		return malformed
-	}
-	if ctx.Err() != nil || c.writeFailed.Load() {
-		return err
+		return newCheckedConn(socket), nil
 	}
-	return c.reader.Cause(err)
 }
--- a/tests/integration/raw_upstream_test.go
+++ b/tests/integration/raw_upstream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -20,6 +22,8 @@
 	t       *testing.T
 	address string
 	answer  func(conn net.Conn, request *http.Request)
+	// early makes it answer before it has read the body, and once on each connection.
+	early atomic.Bool
 	// engine is the address of the engine to which control calls are forwarded.
 	engine string
 	runs   atomic.Int64
@@ -59,10 +63,14 @@
 			}
 			continue
 		}
+		u.runs.Add(1)
+		if u.early.Load() {
+			u.answer(conn, request)
+			return
+		}
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		u.runs.Add(1)
 		u.answer(conn, request)
 	}
 }
@@ -120,6 +128,28 @@
 // hostListTime is the time in which hosts follow a changed host list.
 const hostListTime = 3 * time.Second
 
+// patch changes a value of the first version of the configuration.
+func (f *rawFleet) patch(path string, value any) {
+	f.t.Helper()
+	patch := map[string]any{
+		"base_version": 0, "submission_id": "test", "reason": "test",
+		"patch": []any{map[string]any{"op": "replace", "path": path, "value": value}},
+	}
+	body, err := json.Marshal(patch)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.address+"/admin/v1/patches", bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	operator := f.fleet.Deployment.Shape.Operators[0]
+	request.Header.Set("Authorization", "Bearer "+f.fleet.Deployment.OperatorKeys[operator])
+	if got := send(f.t, request); got.status >= http.StatusMultipleChoices {
+		f.t.Fatalf("status %d, body %s", got.status, got.body)
+	}
+}
+
 // withdraw sends a call that must run once.
 func (f *rawFleet) withdraw(body string) result {
 	f.t.Helper()
