transport: a malformed response to an unread upload is no lost connection

What operators saw: by reading, a call with a long body that got a malformed response counted as one whose connection was lost, that is, as a possible crash, which is held against the request. Callers got the same 502.

Cause: http.Transport closes the connection at such a response. That cut off the write of the request, and a failed write counted as the cause.

Change: a write that failed because this side closed the connection is no cause.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -106,11 +106,12 @@
 	return w.err
 }
 
-// failed reports whether the write has failed. It does not wait.
+// failed reports whether the write has failed for another reason than that this side closed the
+// connection. It does not wait.
 func (w *requestWrite) failed() bool {
 	select {
 	case <-w.done:
-		return w.err != nil
+		return w.err != nil && !errors.Is(w.err, net.ErrClosed)
 	default:
 		return false
 	}
--- a/internal/transport/early_response_test.go
+++ b/internal/transport/early_response_test.go
@@ -207,3 +207,16 @@
 		t.Error("the read goes on")
 	}
 }
+
+// Guards against a malformed response that counts as a lost connection, that is, as a possible
+// crash, because closing its connection cuts off the upload.
+func TestMalformedResponseBeforeAStalledUpload(t *testing.T) {
+	for name, text := range (stricthttptest.Response{Body: "whole"}).Malformed() {
+		address := stricthttptest.EarlyResponse{Text: text, Ending: stricthttptest.StallUntil(t.Context(), false)}.Serve(t)
+		body, err := upload(t.Context(), newTransport(t), address, stalledUploadBytes)
+		var malformed *stricthttp.MalformedError
+		if !errors.As(err, &malformed) {
+			t.Errorf("%s: body %q, error %v; want a MalformedError", name, body, err)
+		}
+	}
+}
