A response is not whole before its request has been delivered

Besides, a worker that half-closes the connection and reads on got only a part of the request from the gateway: the pool resets a connection at its close, and with it what is still to be sent.

Cause: a write that succeeded shows only that the system has taken the bytes.

Change: package delivery waits until the peer has acknowledged them (SIOCOUTQ), or the connection has failed or been closed. Both clients use it where they wait for the write. A worker that has read its request to the end has acknowledged it, so its answer waits for nothing.

--- a/internal/stricthttp/stricthttptest/early.go
+++ b/internal/stricthttp/stricthttptest/early.go
@@ -62,6 +62,29 @@
 	slowInterval = 40 * time.Millisecond
 )
 
+// Counted returns an ending that sends the number of bytes of the body that another one has read.
+func Counted(ending Ending, read chan<- int64) Ending {
+	return func(conn *net.TCPConn, request *http.Request) {
+		body := &countedBody{ReadCloser: request.Body}
+		request.Body = body
+		ending(conn, request)
+		read <- body.read
+	}
+}
+
+// countedBody counts what is read of a body.
+type countedBody struct {
+	io.ReadCloser
+	read int64
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	return n, err
+}
+
 // StallUntil returns an ending that neither reads nor closes before a context has ended. halfClose
 // makes it end the response first.
 func StallUntil(ctx context.Context, halfClose bool) Ending {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/arbutusbank/arbutusbank/internal/delivery"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
 )
 
@@ -37,19 +38,28 @@
 }
 
 // Read implements net.Conn. A response that ends with the connection is complete only if its
-// request could be written, too: the socket reports the failure of a connection once, to the writer
-// or to the reader. Read waits for the end of that write, as http.Transport closes the connection
-// at the end of such a response.
+// request could be delivered, too: the socket reports the failure of a connection once, to the
+// writer or to the reader, and it may fail later, under the part of the request that the system
+// still has to send. Read waits for that, as http.Transport closes the connection at the end of such
+// a response.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.reader.Read(p)
 	if errors.Is(err, io.EOF) && c.unframed.Load() {
-		if failure := c.request.Load().wait(); failure != nil {
+		if failure := c.awaitDelivery(); failure != nil {
 			err = failure
 		}
 	}
 	return n, err
 }
 
+// awaitDelivery waits until the request of the current call has been delivered.
+func (c *checkedConn) awaitDelivery() error {
+	if err := c.request.Load().wait(); err != nil {
+		return err
+	}
+	return delivery.Await(c.Conn)
+}
+
 // Write implements net.Conn.
 func (c *checkedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/transport/early_response_test.go
+++ b/internal/transport/early_response_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -24,6 +23,8 @@
 	// uploadBytes is more than the buffers of a connection hold, so that it is still being written
 	// when the response arrives.
 	uploadBytes = 4 << 20
+	// bufferedUploadBytes is what the sender's buffer holds, but not the receiver's.
+	bufferedUploadBytes = 1 << 20
 	// stalledUploadBytes is more than the system's largest buffers hold.
 	stalledUploadBytes = 32 << 20
 	// maxEndDelay is the longest time between a response and the end of its connection.
@@ -60,6 +61,7 @@
 		"reset":                   {stricthttptest.Reset, uploadBytes},
 		"close with unread bytes": {stricthttptest.CloseUnread, uploadBytes},
 		"half-close, then reset":  {stricthttptest.HalfCloseAndReset, stalledUploadBytes},
+		"half-close, then reset, request in the buffers": {stricthttptest.HalfCloseAndReset, bufferedUploadBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			whole := 0
@@ -118,43 +120,22 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for i := range uploads {
-				read := int64(-1)
-				ended := make(chan struct{})
-				ending := func(conn *net.TCPConn, request *http.Request) {
-					defer close(ended)
-					counted := &countedBody{ReadCloser: request.Body}
-					request.Body = counted
-					form.ending(conn, request)
-					read = counted.read
-				}
-				response := stricthttptest.EarlyResponse{Text: form.text, Delay: endDelay(i), Ending: ending}
+				read := make(chan int64, 1)
+				response := stricthttptest.EarlyResponse{Text: form.text, Delay: endDelay(i), Ending: stricthttptest.Counted(form.ending, read)}
 				if got, err := upload(t.Context(), newTransport(t), response.Serve(t), uploadBytes); err != nil || got != body {
 					t.Errorf("body %q, error %v", got, err)
 				}
 				if form.text != unframed {
 					continue // the connection may be closed once the response is complete
 				}
-				if <-ended; read != uploadBytes {
-					t.Errorf("the upstream read %d bytes of %d", read, uploadBytes)
+				if n := <-read; n != uploadBytes {
+					t.Errorf("the upstream read %d bytes of %d", n, uploadBytes)
 				}
 			}
 		})
 	}
 }
 
-// countedBody counts what is read of a body.
-type countedBody struct {
-	io.ReadCloser
-	read int64
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.read += int64(n)
-	return n, err
-}
-
 // Guards against a wait for the end of an upload that outlasts the call: its caller leaves or its
 // deadline passes.
 func TestWaitForTheUploadEndsWithItsContext(t *testing.T) {
--- a/internal/upstream/early_response_test.go
+++ b/internal/upstream/early_response_test.go
@@ -20,6 +20,8 @@
 	// uploadBytes is more than the buffers of a connection hold, so that it is still being written
 	// when the response arrives.
 	uploadBytes = 4 << 20
+	// bufferedUploadBytes is what the sender's buffer holds, but not the receiver's.
+	bufferedUploadBytes = 1 << 20
 	// stalledUploadBytes is more than the system's largest buffers hold.
 	stalledUploadBytes = 32 << 20
 	// maxEndDelay is the longest time between a response and the end of its connection.
@@ -56,6 +58,7 @@
 		"reset":                   {stricthttptest.Reset, uploadBytes},
 		"close with unread bytes": {stricthttptest.CloseUnread, uploadBytes},
 		"half-close, then reset":  {stricthttptest.HalfCloseAndReset, stalledUploadBytes},
+		"half-close, then reset, request in the buffers": {stricthttptest.HalfCloseAndReset, bufferedUploadBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			whole := 0
@@ -96,24 +99,35 @@
 	group.Wait()
 }
 
-// Guards against rejecting a whole response of an upstream that had not read the request yet.
+// Guards against rejecting a whole response of an upstream that had not read the request yet, and
+// against closing the connection before the upstream has read it.
 func TestResponseBeforeTheUploadIsRead(t *testing.T) {
 	body := strings.TrimPrefix(unframed, "HTTP/1.1 200 OK\r\n\r\n")
 	framed := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	for name, response := range map[string]stricthttptest.EarlyResponse{
-		"read to its end":         {Text: unframed, Ending: stricthttptest.ReadAndClose},
-		"half-closed, read":       {Text: unframed, Ending: stricthttptest.HalfCloseAndRead},
-		"length, reset":           {Text: framed, Ending: stricthttptest.Reset},
-		"length, unread":          {Text: framed, Ending: stricthttptest.CloseUnread},
-		"length, never read":      {Text: framed, Ending: stricthttptest.StallUntil(t.Context(), false)},
-		"length, read to its end": {Text: framed, Ending: stricthttptest.ReadAndClose},
+	for name, form := range map[string]struct {
+		text   string
+		ending stricthttptest.Ending
+	}{
+		"read to its end":         {unframed, stricthttptest.ReadAndClose},
+		"half-closed, read":       {unframed, stricthttptest.HalfCloseAndRead},
+		"length, reset":           {framed, stricthttptest.Reset},
+		"length, unread":          {framed, stricthttptest.CloseUnread},
+		"length, never read":      {framed, stricthttptest.StallUntil(t.Context(), false)},
+		"length, read to its end": {framed, stricthttptest.ReadAndClose},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for i := range uploads {
-				response.Delay = endDelay(i)
+				read := make(chan int64, 1)
+				response := stricthttptest.EarlyResponse{Text: form.text, Delay: endDelay(i), Ending: stricthttptest.Counted(form.ending, read)}
 				if got, err := upload(t.Context(), response.Serve(t), uploadBytes); err != nil || got != body {
 					t.Errorf("body %q, error %v", got, err)
 				}
+				if form.text != unframed {
+					continue // the connection may be closed once the response is complete
+				}
+				if n := <-read; n != uploadBytes {
+					t.Errorf("the upstream read %d bytes of %d", n, uploadBytes)
+				}
 			}
 		})
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusbank/arbutusbank/internal/delivery"
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp"
 )
 
@@ -117,8 +118,9 @@
 }
 
 // checkEnd returns an error if the body is not complete although net/http has met its end. A
-// response that ends with its connection is complete only if the request could be written, too: the
-// socket reports the failure of a connection once, to the writer or to the reader.
+// response that ends with its connection is complete only if the request could be delivered, too: the
+// socket reports the failure of a connection once, to the writer or to the reader, and it may fail
+// later, under the part of the request that the system still has to send.
 func (r *Response) checkEnd() error {
 	if err := stricthttp.CheckTrailer(r.head.Trailer); err != nil {
 		return err
@@ -126,7 +128,10 @@
 	if r.HasEnd() {
 		return nil
 	}
-	return r.bodyWrite.wait()
+	if err := r.bodyWrite.wait(); err != nil {
+		return err
+	}
+	return delivery.Await(r.conn.socket)
 }
 
 // Discard reads the rest of the body, so that the connection can be used again. It gives
