intake: a response that breaks off resets the connection of an HTTP/1.0 caller

What callers saw: a stream that broke off ended with its connection in order. A caller of HTTP/1.0, which gets neither a length nor chunks, takes that for the end of the whole answer. Callers of HTTP/1.1 see that the last chunk is missing, before and now.

Cause: net/http closes the connection of an aborted response in order, and so does the system when a process ends.

Change: while a request of HTTP/1.0 is handled, its connection is set to be reset when it is closed; it closes in order only after the handler has returned and everything could be written. So it is reset, too, if a write fails, the host's stop runs out of time, or the process is killed. Kept connections end in order after a complete response.

Evidence, tests on the code before: an orderly end in all cases: aborted, server closed, write failed, caller that does not read (internal/intake, 8 of 8); broken in three ways and stopped by the host (gateway, 4 of 4); host killed (tests/crashes). Whole streams arrived whole.

Measured after, with the race detector: all reset, whole streams whole, in two runs each; tests/crowd, internal/gateway, internal/host and tests/integration pass.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -52,6 +52,7 @@
 	deadline atomic.Int64 // while not busy: when the wait for a head or a request ends, nanoseconds since the guard's start
 	close    sync.Once
 	closed   atomic.Bool
+	unframed unframedResponse
 	head     atomic.Pointer[membudget.Account] // nil: the head is short
 
 	// Used by the goroutine that reads; net/http has one at a time.
@@ -94,6 +95,7 @@
 		c.closeHead()
 		c.headBytes, c.headReserved = 0, 0
 		c.busy.Store(false)
+		c.unframed.end(c)
 		c.await(idleGrace, c.guard.options.Timeouts().Idle)
 		c.account.Prefer(true)
 	}
@@ -227,6 +229,9 @@
 			exchange.proceed()
 		}
 		written += n
+		if err != nil {
+			c.unframed.failed.Store(true)
+		}
 		if err != nil || written == len(p) {
 			return written, err
 		}
@@ -248,7 +253,8 @@
 func (c *conn) Close() error {
 	var err error
 	c.close.Do(func() {
-		if !c.lingers.Load() || c.half.Load() || c.CloseWrite() != nil {
+		c.unframed.end(c)
+		if !c.lingers.Load() || c.half.Load() || c.unframed.pending.Load() || c.CloseWrite() != nil {
 			err = c.closeNow()
 			return
 		}
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -157,7 +157,13 @@
 		exchange := &Exchange{guard: g, conn: c}
 		c.exchange.Store(exchange)
 		defer exchange.close()
+		if r.ProtoAtLeast(1, 1) {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.unframed.begin(c)
 		handler.ServeHTTP(w, r)
+		c.unframed.handled.Store(true) // not after a panic
 	})
 }
 
