--- a/tests/gateway/early_answer_test.go
+++ b/tests/gateway/early_answer_test.go
@@ -65,9 +65,9 @@
 	return answers
 }
 
-// newUploadFleet starts a fleet without workers, with one host that takes bodies of a size.
-func newUploadFleet(t *testing.T, bytes int) *testFleet {
-	f := newTestFleet(t, 1)
+// newUploadFleet starts a fleet without workers whose hosts take bodies of a size.
+func newUploadFleet(t *testing.T, hosts, bytes int) *testFleet {
+	f := newTestFleet(t, hosts)
 	f.store.Remove("servers", f.engine.ID)
 	for _, ledger := range f.ledgers {
 		f.store.Remove("servers", ledger.ID)
@@ -75,15 +75,19 @@
 	f.bodyBytes = bytes
 	f.writeConfig(testKey)
 	f.waitFor("configuration and workers", func() bool {
-		state := f.hosts[0].State()
-		return state.ConfigVersion == int64(f.configVersion) && state.Upstreams == 0
+		for _, h := range f.hosts {
+			if state := h.State(); state.ConfigVersion != int64(f.configVersion) || state.Upstreams != 0 {
+				return false
+			}
+		}
+		return true
 	})
 	return f
 }
 
 // sendRounds sends the uploads of all rounds and returns what their callers get.
 func (e *earlyAnswers) sendRounds(t *testing.T) (answers []response) {
-	f := newUploadFleet(t, earlyUploadBytes)
+	f := newUploadFleet(t, 1, earlyUploadBytes)
 	for round := range earlyRounds {
 		answers = append(answers, e.send(f, round)...)
 	}
@@ -167,7 +171,7 @@
 
 // startSlowUpload returns once the caller has the stream's event.
 func startSlowUpload(t *testing.T, deadline string) *slowUpload {
-	u := &slowUpload{testFleet: newUploadFleet(t, slowUploadBytes)}
+	u := &slowUpload{testFleet: newUploadFleet(t, 1, slowUploadBytes)}
 	u.worker = &rawWorker{id: "slow", early: true, answer: func(conn net.Conn, request *http.Request) {
 		text := answerHeader(request) + "\r\n\r\n" + earlyEvent
 		stricthttptest.EarlyResponse{Text: text, Ending: stricthttptest.HalfCloseAndReadSlowly}.Respond(conn, request)
