Tests: one list of the forms of early responses

The forms, sizes and delays of responses that come before their uploads have been read stood in the tests of four packages. The four packages pass with the race detector.

--- a/internal/engine/early_answer_test.go
+++ b/internal/engine/early_answer_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
 )
@@ -13,7 +12,6 @@
 // Guards against the first object of an engine's answer that counts as the whole answer because the
 // connection was reset while a long prompt was still being written (check MIXED).
 func TestUnaryAnswerCutUnderAnUpload(t *testing.T) {
-	const uploads, uploadBytes, maxEndDelay = 40, 4 << 20, 20 * time.Millisecond
 	text := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": r1\r\nContent-Type: application/json\r\n\r\n{}"
 	for name, form := range map[string]struct {
 		ending stricthttptest.Ending
@@ -25,18 +23,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			wrong := 0
-			for i := range uploads {
-				early := stricthttptest.EarlyResponse{Text: text, Delay: maxEndDelay * time.Duration(i) / (uploads - 1), Ending: form.ending}
+			for i := range stricthttptest.Uploads {
+				early := stricthttptest.EarlyResponse{Text: text, Delay: stricthttptest.EndDelay(i), Ending: form.ending}
 				client := NewClient(early.Serve(t))
 				defer client.Close()
 				long := call("r1")
-				long.Body = []byte(strings.Repeat(" ", uploadBytes))
+				long.Body = []byte(strings.Repeat(" ", stricthttptest.UploadBytes))
 				if whole := infers(t, client, long); whole != form.whole {
 					wrong++
 				}
 			}
 			if wrong > 0 {
-				t.Errorf("%d of %d answers were taken wrongly, want whole %v", wrong, uploads, form.whole)
+				t.Errorf("%d of %d answers were taken wrongly, want whole %v", wrong, stricthttptest.Uploads, form.whole)
 			}
 		})
 	}
--- a/internal/service/early_response_test.go
+++ b/internal/service/early_response_test.go
@@ -11,27 +11,15 @@
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
 )
 
-const (
-	uploads = 40
-	// uploadBytes is more than the buffers of a connection hold, so that it is still being written
-	// when the response arrives.
-	uploadBytes = 4 << 20
-	// maxEndDelay is the longest time between a response and the end of its connection.
-	maxEndDelay  = 20 * time.Millisecond
-	unframedHead = "HTTP/1.1 200 OK\r\n\r\n"
-)
-
 // upload calls a worker with a long body. The worker responds before it has read it.
 func upload(t *testing.T, i int, ending stricthttptest.Ending) (*Response, error) {
 	t.Helper()
-	address := stricthttptest.EarlyResponse{
-		Text: unframedHead + "part", Delay: maxEndDelay * time.Duration(i) / (uploads - 1), Ending: ending,
-	}.Serve(t)
+	form := stricthttptest.EarlyForm{Text: stricthttptest.Unframed, Ending: ending, UploadBytes: stricthttptest.UploadBytes}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	client := NewClient("credential", &net.Dialer{})
 	t.Cleanup(client.transport.CloseIdleConnections)
-	return client.Do(ctx, address, &Call{ID: "upload", Method: http.MethodPost, Path: "/x", Body: make([]byte, uploadBytes)})
+	return client.Do(ctx, form.Response(i).Serve(t), &Call{ID: "upload", Method: http.MethodPost, Path: "/x", Body: make([]byte, form.UploadBytes)})
 }
 
 // Guards against a part of a worker's response that the caller gets as the whole one because the
@@ -42,7 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			whole := 0
-			for i := range uploads {
+			for i := range stricthttptest.Uploads {
 				response, err := upload(t, i, ending)
 				var interrupted *InterruptedError
 				switch {
@@ -53,7 +41,7 @@
 				}
 			}
 			if whole > 0 {
-				t.Errorf("%d of %d responses count as whole", whole, uploads)
+				t.Errorf("%d of %d responses count as whole", whole, stricthttptest.Uploads)
 			}
 		})
 	}
@@ -66,8 +54,8 @@
 		"read, closed": stricthttptest.ReadAndClose, "half-closed, read": stricthttptest.HalfCloseAndRead,
 	} {
 		t.Run(name, func(t *testing.T) {
-			for i := range uploads {
-				if response, err := upload(t, i, ending); err != nil || string(response.Body) != "part" {
+			for i := range stricthttptest.Uploads {
+				if response, err := upload(t, i, ending); err != nil || string(response.Body) != stricthttptest.EarlyBody {
 					t.Errorf("response %v, error %v", response, err)
 				}
 			}
--- a/internal/upstream/early_response_test.go
+++ b/internal/upstream/early_response_test.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,20 +14,6 @@
 	"github.com/arbutusbank/arbutusbank/internal/stricthttp/stricthttptest"
 )
 
-const (
-	uploads = 40
-	// uploadBytes is more than the buffers of a connection hold, so that it is still being written
-	// when the response arrives.
-	uploadBytes = 4 << 20
-	// bufferedUploadBytes is what the sender's buffer holds, but not the receiver's.
-	bufferedUploadBytes = 1 << 20
-	// stalledUploadBytes is more than the system's largest buffers hold.
-	stalledUploadBytes = 32 << 20
-	// maxEndDelay is the longest time between a response and the end of its connection.
-	maxEndDelay = 20 * time.Millisecond
-	unframed    = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: token 1\n\n"
-)
-
 func uploadRequest(address string, bytes int) *Request {
 	return &Request{Key: "u1", Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, bytes)}
 }
@@ -44,27 +29,15 @@
 	return string(data), err
 }
 
-// endDelay spreads the ends of connections over maxEndDelay.
-func endDelay(i int) time.Duration { return maxEndDelay * time.Duration(i) / (uploads - 1) }
-
 // Guards against a part of a response that counts as whole because its connection failed while the
 // request was still being written: a socket reports a failure once, and the writer may be the one
 // that gets it (check MIXED).
 func TestResponseCutUnderAnUpload(t *testing.T) {
-	for name, form := range map[string]struct {
-		ending stricthttptest.Ending
-		bytes  int
-	}{
-		"reset":                   {stricthttptest.Reset, uploadBytes},
-		"close with unread bytes": {stricthttptest.CloseUnread, uploadBytes},
-		"half-close, then reset":  {stricthttptest.HalfCloseAndReset, stalledUploadBytes},
-		"half-close, then reset, request in the buffers": {stricthttptest.HalfCloseAndReset, bufferedUploadBytes},
-	} {
+	for name, form := range stricthttptest.CutForms() {
 		t.Run(name, func(t *testing.T) {
 			whole := 0
-			for i := range uploads {
-				response := stricthttptest.EarlyResponse{Text: unframed, Delay: endDelay(i), Ending: form.ending}
-				body, err := upload(t.Context(), response.Serve(t), form.bytes)
+			for i := range stricthttptest.Uploads {
+				body, err := upload(t.Context(), form.Response(i).Serve(t), form.UploadBytes)
 				var incomplete *IncompleteResponseError
 				switch {
 				case err == nil:
@@ -74,7 +47,7 @@
 				}
 			}
 			if whole > 0 {
-				t.Errorf("%d of %d responses count as whole", whole, uploads)
+				t.Errorf("%d of %d responses count as whole", whole, stricthttptest.Uploads)
 			}
 		})
 	}
@@ -84,13 +57,13 @@
 // reads no more (TCP_USER_TIMEOUT).
 func TestResponseBeforeAStalledUpload(t *testing.T) {
 	const stalled = 8
-	address := stricthttptest.EarlyResponse{Text: unframed, Ending: stricthttptest.StallUntil(t.Context(), false)}.Serve(t)
+	address := stricthttptest.EarlyResponse{Text: stricthttptest.Unframed, Ending: stricthttptest.StallUntil(t.Context(), false)}.Serve(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*userTimeout)
 	defer cancel()
 	var group conc.WaitGroup
 	for range stalled {
 		group.Go(func() {
-			body, err := upload(ctx, address, stalledUploadBytes)
+			body, err := upload(ctx, address, stricthttptest.StalledUploadBytes)
 			if err == nil || ctx.Err() != nil {
 				t.Errorf("body %q, error %v, context %v; want a failure of the connection", body, err, ctx.Err())
 			}
@@ -102,31 +75,22 @@
 // Guards against rejecting a whole response of an upstream that had not read the request yet, and
 // against closing the connection before the upstream has read it.
 func TestResponseBeforeTheUploadIsRead(t *testing.T) {
-	body := strings.TrimPrefix(unframed, "HTTP/1.1 200 OK\r\n\r\n")
-	framed := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	for name, form := range map[string]struct {
-		text   string
-		ending stricthttptest.Ending
-	}{
-		"read to its end":         {unframed, stricthttptest.ReadAndClose},
-		"half-closed, read":       {unframed, stricthttptest.HalfCloseAndRead},
-		"length, reset":           {framed, stricthttptest.Reset},
-		"length, unread":          {framed, stricthttptest.CloseUnread},
-		"length, never read":      {framed, stricthttptest.StallUntil(t.Context(), false)},
-		"length, read to its end": {framed, stricthttptest.ReadAndClose},
-	} {
+	forms := stricthttptest.WholeForms(t.Context())
+	maps.Copy(forms, stricthttptest.WholeThenReset())
+	for name, form := range forms {
 		t.Run(name, func(t *testing.T) {
-			for i := range uploads {
+			for i := range stricthttptest.Uploads {
 				read := make(chan int64, 1)
-				response := stricthttptest.EarlyResponse{Text: form.text, Delay: endDelay(i), Ending: stricthttptest.Counted(form.ending, read)}
-				if got, err := upload(t.Context(), response.Serve(t), uploadBytes); err != nil || got != body {
+				response := form.Response(i)
+				response.Ending = stricthttptest.Counted(form.Ending, read)
+				if got, err := upload(t.Context(), response.Serve(t), form.UploadBytes); err != nil || got != stricthttptest.EarlyBody {
 					t.Errorf("body %q, error %v", got, err)
 				}
-				if form.text != unframed {
+				if !form.Unframed() {
 					continue // the connection may be closed once the response is complete
 				}
-				if n := <-read; n != uploadBytes {
-					t.Errorf("the upstream read %d bytes of %d", n, uploadBytes)
+				if n := <-read; n != int64(form.UploadBytes) {
+					t.Errorf("the upstream read %d bytes of %d", n, form.UploadBytes)
 				}
 			}
 		})
@@ -137,7 +101,7 @@
 // its deadline passes.
 func TestWaitForTheUploadEndsWithItsContext(t *testing.T) {
 	const ends, bound = 200 * time.Millisecond, 500 * time.Millisecond // the system gives up later
-	address := stricthttptest.EarlyResponse{Text: unframed, Ending: stricthttptest.StallUntil(t.Context(), true)}.Serve(t)
+	address := stricthttptest.EarlyResponse{Text: stricthttptest.Unframed, Ending: stricthttptest.StallUntil(t.Context(), true)}.Serve(t)
 	for name, newContext := range map[string]func() (context.Context, context.CancelFunc){
 		"deadline": func() (context.Context, context.CancelFunc) { return context.WithTimeout(t.Context(), ends) },
 		"caller left": func() (context.Context, context.CancelFunc) {
@@ -150,7 +114,7 @@
 			ctx, cancel := newContext()
 			defer cancel()
 			began := time.Now()
-			body, err := upload(ctx, address, stalledUploadBytes)
+			body, err := upload(ctx, address, stricthttptest.StalledUploadBytes)
 			if took := time.Since(began); err == nil || took > ends+bound {
 				t.Errorf("body %q, error %v after %v", body, err, took)
 			}
@@ -160,8 +124,8 @@
 
 // Guards against the same where the rest of a response is discarded.
 func TestDiscardDoesNotWaitForTheUpload(t *testing.T) {
-	address := stricthttptest.EarlyResponse{Text: unframed, Ending: stricthttptest.StallUntil(t.Context(), true)}.Serve(t)
-	response, err := NewPool().Do(t.Context(), uploadRequest(address, stalledUploadBytes))
+	address := stricthttptest.EarlyResponse{Text: stricthttptest.Unframed, Ending: stricthttptest.StallUntil(t.Context(), true)}.Serve(t)
+	response, err := NewPool().Do(t.Context(), uploadRequest(address, stricthttptest.StalledUploadBytes))
 	if err != nil {
 		t.Fatal(err)
 	}
