intake: a response that is still being written is not complete

Cause: the response counted as complete once its handler had returned and no write had failed.

Change: nor does it while a write is in progress.

Evidence: TestResponseClosedAfterItsHandler without the change: an orderly end after 3,910,656 bytes of 64 MiB, 3 of 3 runs; with it a reset, 6 of 6.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -216,6 +216,8 @@
 // Write implements net.Conn. A connection whose caller does not read may be closed when
 // connections or memory are short.
 func (c *conn) Write(p []byte) (int, error) {
+	c.unframed.writing.Store(true)
+	defer c.unframed.writing.Store(false)
 	written := 0
 	for {
 		exchange := c.exchange.Load()
--- a/internal/intake/unframed.go
+++ b/internal/intake/unframed.go
@@ -12,6 +12,7 @@
 type unframedResponse struct {
 	pending atomic.Bool // closing the connection resets it
 	handled atomic.Bool // the handler has returned
+	writing atomic.Bool // a part of the response is being written
 	failed  atomic.Bool // a part of the response could not be written
 }
 
@@ -22,10 +23,10 @@
 	c.resetOnClose(true)
 }
 
-// end is called once net/http has written what it will write of a response. It has no effect if the
-// response is not complete.
+// end is called when the connection is idle or closed. It has no effect if the response is not
+// complete.
 func (u *unframedResponse) end(c *conn) {
-	if !u.pending.Load() || !u.handled.Load() || u.failed.Load() {
+	if !u.pending.Load() || !u.handled.Load() || u.writing.Load() || u.failed.Load() {
 		return
 	}
 	u.pending.Store(false)
--- a/internal/intake/unframed_test.go
+++ b/internal/intake/unframed_test.go
@@ -77,6 +77,42 @@
 	}
 }
 
+// Guards against the same if the server is closed while net/http still writes the end of a response
+// whose handler has returned.
+func TestResponseClosedAfterItsHandler(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	guarded := New(Options{Descriptors: 1, Timeouts: func() Timeouts { return longTimeouts }}).Listener(listener)
+	go func() {
+		defer listener.Close()
+		if c, err := guarded.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	_, reader := dial(t, listener.Addr().String(), "")
+	c := (<-accepted).(*conn)
+	c.unframed.begin(c)
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 64<<20)) // more than the buffers hold
+		written <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	c.unframed.handled.Store(true)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-written; err == nil {
+		t.Error("the response was written completely")
+	}
+	if n, err := io.Copy(io.Discard, reader); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%d bytes, error %v; want a reset connection", n, err)
+	}
+}
+
 // Guards against a kept connection of HTTP/1.0 that is reset after its last complete response.
 func TestKeptConnectionEndsInOrder(t *testing.T) {
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
