--- a/tests/gateway/early_answer_soak_test.go
+++ b/tests/gateway/early_answer_soak_test.go
@@ -28,20 +28,39 @@
 	headerPlan    = "X-Plan"
 )
 
-// cutEndings are the endings of a worker's connection.
-var cutEndings = []stricthttptest.Ending{
-	stricthttptest.ReadAndClose, stricthttptest.HalfCloseAndRead,
-	stricthttptest.Reset, stricthttptest.CloseUnread, stricthttptest.HalfCloseAndReset,
+// cutEnding is the ending of a worker's connection, as a header names it.
+type cutEnding int
+
+const (
+	readAndClose cutEnding = iota
+	halfCloseAndRead
+	reset
+	closeUnread
+	halfCloseAndReset
+	cutEndings // their number
+)
+
+func (e cutEnding) ending() stricthttptest.Ending {
+	return [cutEndings]stricthttptest.Ending{
+		readAndClose: stricthttptest.ReadAndClose, halfCloseAndRead: stricthttptest.HalfCloseAndRead,
+		reset: stricthttptest.Reset, closeUnread: stricthttptest.CloseUnread, halfCloseAndReset: stricthttptest.HalfCloseAndReset,
+	}[e]
 }
 
-// cutSizes are the sizes of uploads: some are written at once, some are in the buffers when the
-// answer arrives, and some still have to be written.
-var cutSizes = []int{1 << 10, 100 << 10, 1 << 20, 4 << 20}
+// Sizes of uploads.
+const (
+	atOnceBytes   = 1 << 10 // written at once, and read with the head
+	shortBytes    = 100 << 10
+	bufferedBytes = 1 << 20 // more than a worker receives without reading
+	longBytes     = earlyUploadBytes
+)
+
+var cutSizes = []int{atOnceBytes, shortBytes, bufferedBytes, longBytes}
 
 // cutPlan is how a worker answers an upload.
 type cutPlan struct {
 	framed bool
-	ending int // index of cutEndings
+	ending cutEnding
 	delay  time.Duration
 	size   int
 	stream bool
@@ -50,7 +69,7 @@
 
 func newCutPlan(random *rand.Rand) cutPlan {
 	return cutPlan{
-		framed: random.IntN(4) == 0, ending: random.IntN(len(cutEndings)), delay: time.Duration(random.Int64N(int64(maxEarlyDelay))),
+		framed: random.IntN(4) == 0, ending: cutEnding(random.IntN(int(cutEndings))), delay: time.Duration(random.Int64N(int64(maxEarlyDelay))),
 		size: cutSizes[random.IntN(len(cutSizes))], stream: random.IntN(2) == 0, http10: random.IntN(3) == 0,
 	}
 }
@@ -60,9 +79,16 @@
 	if p.framed {
 		return false
 	}
-	// A worker that has received all of a short request ends the connection in order, or its
-	// answer before the reset.
-	return p.ending == 2 || p.ending == 3 && p.size > 1<<10 || p.ending == 4 && p.size >= 1<<20
+	switch p.ending {
+	case reset:
+		return true
+	case closeUnread:
+		return p.size > atOnceBytes
+	case halfCloseAndReset: // a worker that has received the whole upload has ended its answer in order
+		return p.size >= bufferedBytes
+	default:
+		return false
+	}
 }
 
 func (p cutPlan) String() string {
@@ -79,7 +105,7 @@
 	if p.framed {
 		text += "\r\nContent-Length: " + strconv.Itoa(len(earlyEvent))
 	}
-	stricthttptest.EarlyResponse{Text: text + "\r\n\r\n" + earlyEvent, Delay: p.delay, Ending: cutEndings[p.ending]}.Respond(conn, request)
+	stricthttptest.EarlyResponse{Text: text + "\r\n\r\n" + earlyEvent, Delay: p.delay, Ending: p.ending.ending()}.Respond(conn, request)
 }
 
 // Guards against parts of answers that reach callers as whole, against uploads that run twice, and
