platformtest: the load time of a worker is set under its lock

Tests that ran at the same time were marked as failed, too.

Cause: an engine may be ordered to load a model ahead as soon as its host is ready, and the test sets the time after that. The field was read under the worker's lock and written without it.

Change: SetLoadTime takes the lock. Nothing that the tests check has changed.

The race was not reproduced by itself before the change.

--- a/tests/gateway/failure_test.go
+++ b/tests/gateway/failure_test.go
@@ -171,7 +171,7 @@
 // tokachi fresh-8433).
 func TestWaitingRequestAtShutdown(t *testing.T) {
 	f := newTestFleet(t, 1)
-	f.engine.LoadTime = 30 * time.Second
+	f.engine.SetLoadTime(30 * time.Second)
 	result := make(chan response)
 	go func() { result <- f.sendModelRequest(0, "/review/1", "waits", "m6") }()
 	f.waitFor("in progress", func() bool { return f.hosts[0].State().InFlight == 1 })
--- a/tests/gateway/leaving_callers_test.go
+++ b/tests/gateway/leaving_callers_test.go
@@ -89,7 +89,7 @@
 // places are the places at which a caller leaves in TestWorkEndsWhenCallerLeaves.
 var places = map[string]place{
 	"model that is loaded": {"/review/1", "m5", func(f *testFleet) *rawWorker {
-		f.engine.LoadTime = 30 * time.Second
+		f.engine.SetLoadTime(30 * time.Second)
 		return nil
 	}},
 	"silent upstream": {"/lookup/1", "", func(f *testFleet) *rawWorker {
