--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -15,7 +15,7 @@
 
 const (
 	crowdSize  = 2500
-	bodyLimit  = 1 << 20
+	bodyBytes  = 1 << 20
 	missing    = 1000 // how far the bodies stop short of their end
 	memoryMB   = 284
 	crowdStays = 15 * time.Second
@@ -83,7 +83,7 @@
 	var group sync.WaitGroup
 	var sent, connected atomic.Int64
 	if trouble {
-		body := bytes.Repeat([]byte("b"), bodyLimit-missing)
+		body := bytes.Repeat([]byte("b"), bodyBytes-missing)
 		for range crowdSize {
 			group.Add(1)
 			go func() {
@@ -103,7 +103,7 @@
 					case <-stopClosing:
 					}
 				}()
-				fmt.Fprintf(conn, "POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: %s\r\nDeadline-Ms: 2500\r\nContent-Length: %d\r\n\r\n", newID(), bodyLimit)
+				fmt.Fprintf(conn, "POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: %s\r\nDeadline-Ms: 2500\r\nContent-Length: %d\r\n\r\n", newID(), bodyBytes)
 				if n, err := conn.Write(body); err == nil && n == len(body) {
 					sent.Add(1)
 				}
--- a/review/standin-3/drills.go
+++ b/review/standin-3/drills.go
@@ -33,7 +33,7 @@
 func config(version int, routes, services []any, tenants ...any) map[string]any {
 	return map[string]any{
 		"version": version, "routes": routes, "services": services, "tenants": tenants,
-		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
+		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 	}
 }
 
@@ -42,7 +42,8 @@
 
 // drillKey: the store comes back from a copy; a key is taken away afterwards.
 func drillKey(s *scene, trouble bool) {
-	routes, services := []any{ledgerRoute()}, []any{ledgerService()}
+	routes := []any{ledgerRoute()}
+	services := []any{ledgerService(), map[string]any{"name": "dele69a", "healthPath": "/health", "maxConns": 370, "protocol": "h1", "tls": false}}
 	// configuration returns the version after some rounds: each takes away a key of the second tenant.
 	configuration := func(round int) map[string]any {
 		keys := []string{"key-other"}
@@ -53,13 +54,13 @@
 	}
 	s.store.set("op", "config", configuration(0))
 	var workers []*worker
-	for i := range 12 { // as many heartbeats as in the deployment, of 15 workers
+	for i := range 15 { // as in the deployment: their heartbeats move the store's counter
 		service := "dele69a"
 		if i < 3 {
 			service = "xano55b"
 		}
 		workers = append(workers, newWorker(s.store, s.record, fmt.Sprintf("i-%02d", i), service, zones[i%3], 6, nil, nil))
-		time.Sleep(heartbeat / 12)
+		time.Sleep(heartbeat / 15)
 	}
 	s.startHosts(8)
 	s.waitReady(10 * time.Second)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -33,7 +33,7 @@
 		fail("usage: standin-3 CASE RECORD")
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*scene, bool){"drill-key": drillKey, "drill-order": drillOrder, "crowd": crowd}
+	cases := map[string]func(*scene, bool){"drill-key": drillKey, "drill-order": drillOrder, "crowd": crowd, "late-entry": lateEntry}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %s", os.Args[1])
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -77,6 +77,12 @@
 	go func() {
 		for {
 			time.Sleep(heartbeat)
+			w.mu.Lock()
+			leaves := w.state != "ready" // the case writes its entries
+			w.mu.Unlock()
+			if leaves {
+				return
+			}
 			w.beat()
 		}
 	}()
@@ -99,13 +105,18 @@
 	if !w.store.reachable() {
 		return
 	}
+	w.store.set("servers", w.id, w.nextEntry())
+}
+
+// nextEntry returns the entry of the next heartbeat.
+func (w *worker) nextEntry() map[string]any {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.beats++
 	entry := w.describe()
 	entry["service"], entry["address"], entry["zone"], entry["version"] = w.service, w.address, w.zone, "v1"
 	entry["slots"], entry["state"], entry["coldLeftMs"], entry["seq"] = w.slots, w.state, 0, w.beats
-	w.mu.Unlock()
-	w.store.set("servers", w.id, entry)
+	return entry
 }
 
 func (w *worker) handleReport(rw http.ResponseWriter, _ *http.Request) {
