--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -93,6 +93,7 @@
 					return
 				}
 				defer conn.Close()
+				_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10) // bounds what the kernel holds for the crowd itself
 				connected.Add(1)
 				stopClosing := make(chan struct{})
 				defer close(stopClosing)
