--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -4,8 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime ends a case that takes too long.
+const maxTime = 115 * time.Second
+
 // verdict ends a case: broken lists what broke the rule.
 func (s *scene) verdict(rule string, broken []string) {
 	for i, line := range broken {
@@ -38,5 +44,15 @@
 	if play == nil {
 		fail("no case %s", os.Args[1])
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			fail("stopped")
+		case <-time.After(maxTime):
+			fail("not done after %v", maxTime)
+		}
+	}()
 	play(newScene(os.Args[2]), trouble)
 }
--- a/review/standin-3/scene.go
+++ b/review/standin-3/scene.go
@@ -33,6 +33,7 @@
 func fail(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "could not run: "+format+"\n", args...)
 	stopAll()
+	_ = os.RemoveAll(temporary)
 	os.Exit(2)
 }
 
@@ -53,6 +54,7 @@
 }
 
 var (
+	temporary string // the folder of the scene; "": none yet
 	runningMu sync.Mutex
 	running   = map[*exec.Cmd]chan struct{}{}
 )
@@ -79,12 +81,13 @@
 	if err != nil {
 		fail("%v", err)
 	}
+	temporary = dir
 	return &scene{record: &recorder{file: file, began: time.Now()}, store: newStore(), dir: dir}
 }
 
 func (s *scene) close() {
 	stopAll()
-	_ = os.RemoveAll(s.dir)
+	_ = os.RemoveAll(temporary)
 }
 
 // freePort returns a port of an address that is free now.
