--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -39,7 +39,7 @@
 		fail("usage: standin-3 CASE RECORD")
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*scene, bool){"drill-key": drillKey, "drill-order": drillOrder, "crowd": crowd, "late-entry": lateEntry}
+	cases := map[string]func(*scene, bool){"drill-key": drillKey, "drill-order": drillOrder, "crowd": crowd}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %s", os.Args[1])
