Table: a revision belongs to a generation of the table service

Cause: no code read Store-Era. Replica kept its higher revision when it read the whole table, laid the lost changes over it, and threw later reads away; every watch got 410 until the counter had passed the old revision, and what was written until then was never seen, while the content counted as confirmed. Relays between hosts compared the same numbers.

A replica is a copy of one generation: a whole table of a later one replaces it, changes of another one are not applied, late answers of an earlier one neither. A read whose pages are of two generations fails. A relay states its generation; hosts of the build before state none and read the table themselves once the coordinator has seen one end. What this host has acknowledged stays: an upstream that leaves (its start decides), one whose entry was removed until it is written again, entries that the copy lacks for 2 s, and evacuations that it lacks for 10 s. The stand-in of the store goes back.

In TestQueryAnswersWhatIsDone the page now has a row: rows are decoded one by one.

--- a/internal/coordinator/encoding_test.go
+++ b/internal/coordinator/encoding_test.go
@@ -12,7 +12,7 @@
 
 // largeReply returns a reply with the maximum number of rows of one exchange.
 func largeReply() *ExchangeReply {
-	update := table.Update{Revision: 400}
+	update := table.Update{Position: table.Position{Revision: 400}}
 	for i := range int64(256) {
 		value := fmt.Sprintf(`{"service":"llm","address":"10.2.64.%d:8443","zone":"z1","state":"draining","slots":16,"models":[{"name":"m%d"}]}`, i, i%40)
 		update.Rows = append(update.Rows, table.Row{Key: fmt.Sprintf("i-%010x", i), Value: []byte(value), Revision: 100 + i})
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -137,8 +137,10 @@
 	ColdNeeds []ColdNeed `json:"cold_needs,omitempty"`
 	// ColdSeat reports that the host may send to cold upstreams without grants.
 	ColdSeat bool `json:"cold_seat,omitempty"`
-	// Tables are the revisions of the host's table replicas, by table.
-	Tables map[string]int64 `json:"tables,omitempty"`
+	// Tables are the revisions of the host's table replicas, by table; Generations are the
+	// generations of these revisions. Hosts of an earlier version of the program leave these out.
+	Tables      map[string]int64 `json:"tables,omitempty"`
+	Generations map[string]int64 `json:"generations,omitempty"`
 	// Paces are new samples of upstreams that are notably faster or slower than usual, or
 	// shared as such.
 	Paces []PaceSample `json:"paces,omitempty"`
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -17,7 +17,7 @@
 	service = &catalog.Service{Name: "ledger", ColdStart: 3 * time.Second, ColdPerS: 14}
 	r.cold.configure("host", func(string) *catalog.Service { return service }, func() bool { return true })
 	entries["s1"], entries["s2"] = ledger("s1", 1), ledger("s2", 1)
-	r.Apply([]table.Row{{Key: "s1"}, {Key: "s2"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}, {Key: "s2"}}, Full: true})
 	return r, entries, now, service
 }
 
@@ -35,7 +35,7 @@
 		t.Fatalf("candidates %v: upstreams that ran before this host started are not cold", ids)
 	}
 	entries["s1"] = ledger("s1", 2)
-	r.Apply([]table.Row{{Key: "s1"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}})
 	if ids := r.candidateIDs(); ids["s1"] || !ids["s2"] {
 		t.Errorf("candidates %v, want s2: s1 has just started", ids)
 	}
@@ -87,7 +87,7 @@
 	cold := entries["s1"]
 	cold.ColdFor = time.Second
 	entries["s1"] = cold
-	r.Apply([]table.Row{{Key: "s1"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}})
 	if dump := r.cold.dump(); len(dump) != 1 || dump[0].ColdForMS != 1000 {
 		t.Errorf("dump %+v, want s1 cold for 1 s", dump)
 	}
@@ -99,7 +99,7 @@
 	r, entries, _, service := newColdRegistry()
 	*service = catalog.Service{Name: "ledger"}
 	entries["s3"] = ledger("s3", time.Now().UnixMilli())
-	r.Apply([]table.Row{{Key: "s3"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s3"}}})
 	if !r.candidateIDs()["s3"] || r.cold.active.Load() {
 		t.Error("limited without a configured rate")
 	}
@@ -116,10 +116,10 @@
 	s1 := entries["s1"]
 	s1.DataCenter = "z0"
 	entries["s1"] = s1
-	r.Apply([]table.Row{{Key: "s1"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}})
 	r.evacuateZ0()
 	*now += time.Minute
-	r.applyEvacuations(decodeTestEvacuation, nil, true, *now)
+	r.applyEvacuations(decodeTestEvacuation, table.Change{Rows: nil, Full: true}, *now)
 	if ids := r.candidateIDs(); ids["s1"] || !ids["s2"] {
 		t.Errorf("candidates %v right after the evacuation, want s2", ids)
 	}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	// evacuatedRetryAfter is the Retry-After of a service without upstreams outside the
 	// evacuated data centres. It is not known when an evacuation ends.
 	evacuatedRetryAfter = 2 * time.Second
+	// restoredGrace is how long an evacuation stays in force whose row is missing because the
+	// table service came back from an older copy: the operator writes it again.
+	restoredGrace = 10 * time.Second
 )
 
 // DecodeEvacuation returns the evacuation that a row requests, or ends if the row is
@@ -37,11 +41,14 @@
 	notBefore time.Duration
 	// lastUseUntil is when the last replicas there are used no more.
 	lastUseUntil time.Duration
+	// keptUntil is when an evacuation ends whose row was lost by the table service; 0: it was not.
+	keptUntil time.Duration
 }
 
 // evacuations are the evacuations in force, by data centre. It is safe for concurrent use.
 type evacuations struct {
 	bound   time.Duration // from the request until nothing more may be sent
+	changes sync.Mutex    // held while current is replaced
 	current atomic.Pointer[map[string]evacuation]
 }
 
@@ -69,20 +76,23 @@
 	return begun
 }
 
-// apply applies rows of the operator's table, all rows if full is set, and returns the data
-// centres whose evacuation began or ended.
-func (e *evacuations) apply(now time.Duration, decode DecodeEvacuation, rows []table.Row, full bool, notBefore time.Duration) (begun, ended []string) {
+// apply applies a change of the operator's table and returns the data centres whose evacuation
+// began or ended.
+func (e *evacuations) apply(now time.Duration, decode DecodeEvacuation, change table.Change, notBefore time.Duration) (begun, ended []string) {
+	e.changes.Lock()
+	defer e.changes.Unlock()
 	known := e.load()
 	next := map[string]evacuation{}
-	if !full {
+	if !change.Full {
 		maps.Copy(next, known)
 	}
-	for _, row := range rows {
+	for _, row := range change.Rows {
 		decoded, ok := decode(row)
 		if !ok {
 			continue
 		}
 		before, inForce := known[decoded.DataCenter]
+		before.keptUntil = 0
 		switch {
 		case row.Deleted:
 			delete(next, decoded.DataCenter)
@@ -92,6 +102,42 @@
 			next[decoded.DataCenter] = e.begin(now, notBefore)
 		}
 	}
+	if change.Full {
+		keepLost(now, known, next, change.NewGeneration)
+	}
+	return e.replace(known, next)
+}
+
+// keepLost adds to next, which a whole table lists, the known evacuations that are kept although
+// it lacks them.
+func keepLost(now time.Duration, known, next map[string]evacuation, newGeneration bool) {
+	for dataCenter, state := range known {
+		if _, listed := next[dataCenter]; listed {
+			continue
+		}
+		if newGeneration {
+			state.keptUntil = now + restoredGrace
+		}
+		if now < state.keptUntil {
+			next[dataCenter] = state
+		}
+	}
+}
+
+// expire ends the evacuations that were kept although the table lacks them.
+func (e *evacuations) expire(now time.Duration) (ended []string) {
+	e.changes.Lock()
+	defer e.changes.Unlock()
+	known := e.load()
+	next := maps.Clone(known)
+	maps.DeleteFunc(next, func(_ string, state evacuation) bool { return state.keptUntil != 0 && now >= state.keptUntil })
+	_, ended = e.replace(known, next)
+	return ended
+}
+
+// replace puts other evacuations in force and returns the data centres that differ. The caller
+// holds e.changes.
+func (e *evacuations) replace(known, next map[string]evacuation) (begun, ended []string) {
 	for dataCenter := range next {
 		if _, inForce := known[dataCenter]; !inForce {
 			begun = append(begun, dataCenter)
@@ -102,7 +148,7 @@
 			ended = append(ended, dataCenter)
 		}
 	}
-	if len(begun)+len(ended) > 0 {
+	if !maps.Equal(known, next) {
 		e.current.Store(&next)
 	}
 	return begun, ended
@@ -144,19 +190,29 @@
 	return slices.DeleteFunc(candidates, func(c Candidate) bool { return e.affects(c.Upstream) })
 }
 
-// applyEvacuations applies rows of the operator's table. notBefore is when the content
-// without these rows was confirmed, on the boot clock; 0: never.
-func (r *Registry) applyEvacuations(decode DecodeEvacuation, rows []table.Row, full bool, notBefore time.Duration) {
+// applyEvacuations applies a change of the operator's table. notBefore is when the content
+// without it was confirmed, on the boot clock; 0: never.
+func (r *Registry) applyEvacuations(decode DecodeEvacuation, change table.Change, notBefore time.Duration) {
 	now := r.now()
-	begun, ended := r.evacuations.apply(now, decode, rows, full, notBefore)
-	if len(begun)+len(ended) == 0 {
-		return
-	}
+	begun, ended := r.evacuations.apply(now, decode, change, notBefore)
 	for _, dataCenter := range begun {
 		state := r.evacuations.load()[dataCenter]
 		r.log.Info("Evacuation in force.", "data_center", dataCenter, "not_before_ms", ageMS(now, state.notBefore),
 			"last_use_ms", max(0, state.lastUseUntil-now).Milliseconds())
 	}
+	if len(begun)+len(ended) > 0 {
+		r.endEvacuations(ended)
+	}
+}
+
+// expireEvacuations ends the evacuations whose rows the table service has lost.
+func (r *Registry) expireEvacuations() {
+	if ended := r.evacuations.expire(r.now()); len(ended) > 0 {
+		r.endEvacuations(ended)
+	}
+}
+
+func (r *Registry) endEvacuations(ended []string) {
 	for _, dataCenter := range ended {
 		r.log.Info("Evacuation ended.", "data_center", dataCenter)
 	}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -30,9 +30,9 @@
 		if rapid.Bool().Draw(t, "restarted") {
 			notBefore = 0
 		}
-		e.apply(learned, decodeTestEvacuation, []table.Row{{Key: "z0"}}, rapid.Bool().Draw(t, "full"), notBefore)
+		e.apply(learned, decodeTestEvacuation, table.Change{Rows: []table.Row{{Key: "z0"}}, Full: rapid.Bool().Draw(t, "full")}, notBefore)
 		later := learned + ms("read again after", 3000)
-		e.apply(later, decodeTestEvacuation, []table.Row{{Key: "config"}, {Key: "z0"}}, true, later)
+		e.apply(later, decodeTestEvacuation, table.Change{Rows: []table.Row{{Key: "config"}, {Key: "z0"}}, Full: true}, later)
 		upstream := &catalog.Upstream{DataCenter: "z0"}
 		at := func(now time.Duration) evacuationsNow { return e.at(func() time.Duration { return now }) }
 		if notBefore == 0 && !at(learned).closed(upstream) {
@@ -63,7 +63,7 @@
 		{[]table.Row{{Key: "z2"}, {Key: "z1"}}, true, []string{"z1", "z2"}},
 		{nil, true, nil},
 	} {
-		e.apply(time.Hour, decodeTestEvacuation, step.rows, step.full, 0)
+		e.apply(time.Hour, decodeTestEvacuation, table.Change{Rows: step.rows, Full: step.full}, 0)
 		if got := len(e.load()); got != len(step.want) {
 			t.Errorf("step %d: %d evacuations, want %v", i, got, step.want)
 		}
@@ -78,7 +78,7 @@
 // evacuate begins the evacuation of z0, which the registry's host learns at once.
 func (r *Registry) evacuateZ0() {
 	r.evacuations.bound = 5 * time.Second
-	r.applyEvacuations(decodeTestEvacuation, []table.Row{{Key: "z0"}}, false, r.now()-100*time.Millisecond)
+	r.applyEvacuations(decodeTestEvacuation, table.Change{Rows: []table.Row{{Key: "z0"}}}, r.now()-100*time.Millisecond)
 }
 
 // Guards against requests of a plain service that go on to an evacuated data centre although
@@ -88,12 +88,12 @@
 	first, second := ledger("s1", 1), ledger("s2", 1)
 	first.DataCenter, second.DataCenter = "z0", "z1"
 	entries["s1"], entries["s2"] = first, second
-	r.Apply([]table.Row{{Key: "s1"}, {Key: "s2"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}, {Key: "s2"}}, Full: true})
 	r.evacuateZ0()
 	if ids := r.candidateIDs(); ids["s1"] || !ids["s2"] || r.BeginSend(&first) || !r.BeginSend(&second) {
 		t.Errorf("candidates %v, want s2; or a chosen request is sent to s1", ids)
 	}
-	r.Apply([]table.Row{{Key: "s2", Deleted: true}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s2", Deleted: true}}})
 	if !r.candidateIDs()["s1"] || !r.BeginSend(&first) || r.evacuatedWhole("ledger") {
 		t.Error("the last replica is not used although the bound has not passed")
 	}
@@ -101,7 +101,7 @@
 	if r.candidateIDs()["s1"] || r.BeginSend(&first) || !r.evacuatedWhole("ledger") {
 		t.Error("the last replica is used for more than half of the bound")
 	}
-	r.applyEvacuations(decodeTestEvacuation, []table.Row{{Key: "z0", Deleted: true}}, false, r.now())
+	r.applyEvacuations(decodeTestEvacuation, table.Change{Rows: []table.Row{{Key: "z0", Deleted: true}}}, r.now())
 	if !r.candidateIDs()["s1"] || !r.BeginSend(&first) || r.evacuatedWhole("ledger") {
 		t.Error("not used after the end of the evacuation")
 	}
@@ -115,7 +115,7 @@
 		entries[id] = catalog.Upstream{ID: id, Service: "llm", Address: id + ":1", DataCenter: zone, StartedMS: 1,
 			Holdings: catalog.Holdings{Models: map[string][]string{"m-" + id: nil}}}
 	}
-	r.Apply([]table.Row{{Key: "e1"}, {Key: "e2"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "e1"}, {Key: "e2"}}, Full: true})
 	r.evacuateZ0()
 	chosen := func() string {
 		candidates := r.Candidates("llm", "m-e1", "")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -193,8 +193,10 @@
 		// A replica may be ahead of the coordinator's because this host read the
 		// table service itself. It counts as confirmed too, or this host would go on
 		// reading.
+		// One of another generation does not: this host has to read the table service then.
 		replica.ApplyUpdate(update, requestedAt)
-		fresh := update.Revision >= 0 && !update.Partial && time.Duration(update.AgeMS)*time.Millisecond < maxAge
+		fresh := update.Revision >= 0 && !update.Partial && time.Duration(update.AgeMS)*time.Millisecond < maxAge &&
+			update.Generation == replica.Position().Generation
 		confirmed = ok && fresh && confirmed
 	}
 	if confirmed {
@@ -216,8 +218,10 @@
 		Paces: paces, PaceVersion: paceVersion,
 	}
 	e.slots.report(request)
+	request.Generations = map[string]int64{}
 	for name, replica := range e.replicas {
-		request.Tables[name] = replica.Revision()
+		position := replica.Position()
+		request.Tables[name], request.Generations[name] = position.Revision, position.Generation
 	}
 	if config := e.config(); config != nil && config.LimitsCold() {
 		e.registry.fillCold(request)
@@ -247,9 +251,9 @@
 	reply.HandingOver = e.elector.Closing()
 	if reply.Holder && request.Host != e.settings.Host {
 		reply.Tables = map[string]table.Update{}
-		for name, after := range request.Tables {
+		for name, revision := range request.Tables {
 			if replica := e.replicas[name]; replica != nil {
-				reply.Tables[name] = replica.Since(after)
+				reply.Tables[name] = replica.Since(table.Position{Generation: request.Generations[name], Revision: revision})
 			}
 		}
 	}
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -15,7 +15,7 @@
 // coordinator has relayed an update.
 func newRelayedExchanger(update table.Update) *exchanger {
 	replica := &table.Replica{}
-	replica.ApplyPage(table.Page{Revision: 7}, true, clock.SinceBoot())
+	replica.ApplyPage(table.Page{Position: table.Position{Revision: 7}}, true, clock.SinceBoot())
 	e := &exchanger{settings: &Settings{}, elector: &lease.Elector{}, replicas: map[string]*table.Replica{"t": replica}}
 	now := clock.SinceBoot()
 	e.applyTables(&coordinator.ExchangeReply{Tables: map[string]table.Update{"t": update}}, now, now)
@@ -26,14 +26,14 @@
 // read its replica is ahead of the coordinator's, and it did not count as relayed
 // (170 calls in 4 s in the scenario tokachi grown quiet-1, without faults).
 func TestHostAheadOfCoordinatorIsRelayed(t *testing.T) {
-	if !newRelayedExchanger(table.Update{Revision: 5, AgeMS: 100}).Relayed() {
+	if !newRelayedExchanger(table.Update{Position: table.Position{Revision: 5}, AgeMS: 100}).Relayed() {
 		t.Error("the host does not count as relayed although the coordinator is up to date")
 	}
 }
 
 func TestOutdatedRelayIsNotUsed(t *testing.T) {
-	outdated := table.Update{Revision: 8, AgeMS: maxRelayAge.Milliseconds() + int64(time.Second/time.Millisecond)}
-	for name, update := range map[string]table.Update{"old": outdated, "empty": {Revision: -1}} {
+	outdated := table.Update{Position: table.Position{Revision: 8}, AgeMS: maxRelayAge.Milliseconds() + int64(time.Second/time.Millisecond)}
+	for name, update := range map[string]table.Update{"old": outdated, "empty": {Position: table.Position{Revision: -1}}} {
 		if newRelayedExchanger(update).Relayed() {
 			t.Errorf("%s relayed table counts as up to date", name)
 		}
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -20,7 +20,7 @@
 type configuration struct {
 	decode DecodeConfig
 	// onRows receives the rows of each change before a new version is in force. Optional.
-	onRows func(rows []table.Row, full bool)
+	onRows func(table.Change)
 	// onFirst is called when the first version is in force. Optional.
 	onFirst func()
 	log     logr.Logger
@@ -29,14 +29,14 @@
 	replica table.Replica
 }
 
-// apply applies rows of the operator's table. Versions never go back.
-func (c *configuration) apply(rows []table.Row, full bool) {
+// apply applies a change of the operator's table. Versions never go back, even if the table does.
+func (c *configuration) apply(change table.Change) {
 	if c.onRows != nil {
-		c.onRows(rows, full)
+		c.onRows(change)
 	}
 	var config *catalog.Config
 	err := confine.Call("decoding the configuration", func() (err error) {
-		config, err = c.decode(rows)
+		config, err = c.decode(change.Rows)
 		return err
 	})
 	if err != nil {
@@ -73,7 +73,7 @@
 // is at least as new as the confirmation. The other order would combine a replaced version,
 // with its withdrawn keys, with the confirmation of its successor.
 func (c *configuration) snapshot() configSnapshot {
-	confirmedAt := c.replica.ConfirmedAt()
+	confirmedAt := c.replica.Confirmation().At
 	return configSnapshot{config: c.current.Load(), confirmedAt: confirmedAt}
 }
 
--- a/internal/gateway/fleet_state_test.go
+++ b/internal/gateway/fleet_state_test.go
@@ -27,7 +27,7 @@
 	}
 	c.replica.OnChange = c.apply
 	apply := func(version int64, age time.Duration) {
-		page := table.Page{Rows: []table.Row{{Key: "config", Revision: version}}, Revision: version}
+		page := table.Page{Rows: []table.Row{{Key: "config", Revision: version}}, Position: table.Position{Revision: version}}
 		c.replica.ApplyPage(page, true, clock.SinceBoot()-age)
 	}
 	apply(1, time.Minute)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,8 +117,8 @@
 	g.registry.slow = newSlowStart(s.Host)
 	g.registry.evacuations.bound = s.Evacuation()
 	if options.DecodeEvacuation != nil {
-		g.config.onRows = func(rows []table.Row, full bool) {
-			g.registry.applyEvacuations(options.DecodeEvacuation, rows, full, g.config.replica.PreviouslyConfirmedAt())
+		g.config.onRows = func(change table.Change) {
+			g.registry.applyEvacuations(options.DecodeEvacuation, change, g.config.replica.PreviouslyConfirmedAt())
 		}
 	}
 	g.elector = &lease.Elector{
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -46,7 +46,7 @@
 		},
 	})
 	for _, id := range upstreams {
-		f.registry.Apply([]table.Row{{Key: id, Revision: 1}}, false)
+		f.registry.Apply(table.Change{Rows: []table.Row{{Key: id, Revision: 1}}})
 	}
 	return f
 }
@@ -201,11 +201,11 @@
 		f.waitQueued(t, count)
 	}
 	wait(1)
-	f.registry.Apply([]table.Row{{Key: "a", Deleted: true}}, false)
+	f.registry.Apply(table.Change{Rows: []table.Row{{Key: "a", Deleted: true}}})
 	if refused := <-results; refused == nil || refused.reason != "no upstream" {
 		t.Errorf("%v, want a refusal: no upstream is left", refused)
 	}
-	f.registry.Apply([]table.Row{{Key: "a", Revision: 2}}, false)
+	f.registry.Apply(table.Change{Rows: []table.Row{{Key: "a", Revision: 2}}})
 	wait(1)
 	for _, end := range ends { // the runs that the crash ended
 		end()
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -113,21 +113,25 @@
 	return err == nil && reflect.DeepEqual(first, second)
 }
 
-// Apply applies rows of the upstreams' table.
-func (r *Registry) Apply(rows []table.Row, full bool) {
+// Apply applies a change of the upstreams' table.
+func (r *Registry) Apply(change table.Change) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if change.NewGeneration {
+		r.beginGeneration(now, change)
+	}
 	present := map[string]bool{}
-	first := full && len(r.entries) == 0 && len(r.lastStart) == 0
-	for _, row := range rows {
+	first := change.Full && len(r.entries) == 0 && len(r.lastStart) == 0
+	inBulk := change.Full || len(change.Rows) > maxLoggedRows
+	for _, row := range change.Rows {
 		present[row.Key] = true
-		r.applyRow(row, now, first, full || len(rows) > maxLoggedRows)
+		r.applyRow(row, now, first, inBulk, change.RestoredUpTo)
 	}
-	if full || len(rows) > maxLoggedRows {
-		r.log.Info("Upstreams read.", "rows", len(rows), "upstreams", len(r.entries), "full", full)
+	if inBulk {
+		r.log.Info("Upstreams read.", "rows", len(change.Rows), "upstreams", len(r.entries), "full", change.Full)
 	}
-	if full {
+	if change.Full {
 		for id := range r.entries {
 			if !present[id] {
 				r.remove(id, now)
@@ -137,9 +141,27 @@
 	r.notifyChanged()
 }
 
+// beginGeneration keeps what the copy from which the table service came back may lack: that
+// upstreams leave, and entries that were written since; their upstreams write them again.
+func (r *Registry) beginGeneration(now time.Time, change table.Change) {
+	r.log.Info("Upstream table restored from an older copy.", "generation", change.Generation, "restored_up_to", change.RestoredUpTo)
+	for _, entry := range r.entries {
+		if entry.Draining {
+			r.statements.RecordLeaving(r.now(), statement.IncarnationOf(entry))
+		}
+	}
+	r.lastOutage = now
+}
+
+// wasRemoved reports whether an entry is of an incarnation whose entry this host saw removed.
+func (r *Registry) wasRemoved(entry *catalog.Upstream) bool {
+	return r.entries[entry.ID] == nil && entry.StartedMS != 0 && r.lastStart[entry.ID] == entry.StartedMS
+}
+
 // RemoveExpired removes the missing upstreams whose grace period has passed.
 func (r *Registry) RemoveExpired() {
 	r.cold.expire()
+	r.expireEvacuations()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.removeExpiredLocked(time.Now()) {
@@ -167,7 +189,8 @@
 	return entry, err
 }
 
-func (r *Registry) applyRow(row table.Row, now time.Time, first, skipLog bool) {
+// applyRow applies a row. One with a revision up to restoredUpTo may be outdated.
+func (r *Registry) applyRow(row table.Row, now time.Time, first, skipLog bool, restoredUpTo int64) {
 	if row.Deleted {
 		r.remove(row.Key, now)
 		return
@@ -181,6 +204,10 @@
 		r.log.Info("Entry of an upstream ignored.", "upstream", row.Key, "revision", row.Revision, "born", entry.StartedMS, "error", reason)
 		return
 	}
+	if row.Revision <= restoredUpTo && r.wasRemoved(entry) {
+		r.log.Info("Entry of an upstream ignored until it is written again.", "upstream", row.Key, "revision", row.Revision, "born", entry.StartedMS)
+		return
+	}
 	isNew := r.isNewIncarnation(entry)
 	r.recordStart(entry)
 	r.learnEntry(entry, isNew, first, skipLog)
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -23,13 +23,13 @@
 	for i := range int64(2) {
 		rows = append(rows, table.Row{Key: fmt.Sprintf("s%d", i+1), Value: []byte("{}"), Revision: i + 1})
 	}
-	r.Replica.ApplyPage(table.Page{Rows: rows, Revision: 2}, true, clock.SinceBoot())
+	r.Replica.ApplyPage(table.Page{Rows: rows, Position: table.Position{Revision: 2}}, true, clock.SinceBoot())
 	return r
 }
 
 // remove deletes the entry of s1.
 func remove(r *Registry) {
-	page := table.Page{Rows: []table.Row{{Key: "s1", Revision: 3, Deleted: true}}, Revision: 3}
+	page := table.Page{Rows: []table.Row{{Key: "s1", Revision: 3, Deleted: true}}, Position: table.Position{Revision: 3}}
 	r.Replica.ApplyPage(page, false, clock.SinceBoot())
 }
 
@@ -69,7 +69,7 @@
 	entry := &catalog.Upstream{ID: "e1", Service: "llm", StartedMS: 1, Holdings: catalog.Holdings{Models: map[string][]string{"m1": {"a1"}}}}
 	decode := func(table.Row) (*catalog.Upstream, error) { return entry, nil }
 	r := NewRegistry(decode, func(string) {}, logr.Discard())
-	r.Apply([]table.Row{{Key: "e1"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "e1"}}, Full: true})
 	r.RecordAdapter("e1", "m1", "a2")
 	for _, adapter := range []string{"a1", "a2"} {
 		if got := r.Candidates("llm", "m1", adapter); len(got) != 1 || !got[0].HasAdapter {
@@ -92,8 +92,8 @@
 	}
 	r := NewRegistry(decode, func(string) {}, logr.Discard())
 	rows := []table.Row{{Key: "s1", Revision: 1}, {Key: "odd", Revision: 2}, {Key: "s2", Revision: 3}}
-	r.Replica.ApplyPage(table.Page{Rows: rows, Revision: 3}, true, clock.SinceBoot())
-	r.Replica.ApplyPage(table.Page{Rows: []table.Row{{Key: "odd", Revision: 4, Value: []byte("x")}, {Key: "s3", Revision: 5}}, Revision: 5}, false, clock.SinceBoot())
+	r.Replica.ApplyPage(table.Page{Rows: rows, Position: table.Position{Revision: 3}}, true, clock.SinceBoot())
+	r.Replica.ApplyPage(table.Page{Rows: []table.Row{{Key: "odd", Revision: 4, Value: []byte("x")}, {Key: "s3", Revision: 5}}, Position: table.Position{Revision: 5}}, false, clock.SinceBoot())
 	if candidates := r.Candidates("ledger", "", ""); len(candidates) != 3 {
 		t.Errorf("%d candidates, want s1, s2 and s3", len(candidates))
 	}
@@ -115,7 +115,7 @@
 		return &entry, nil
 	}
 	r := NewRegistry(decode, func(string) {}, logr.Discard())
-	apply := func(name string) { r.Apply([]table.Row{{Key: "s1", Value: []byte(name)}}, false) }
+	apply := func(name string) { r.Apply(table.Change{Rows: []table.Row{{Key: "s1", Value: []byte(name)}}}) }
 	apply("first")
 	r.RecordStatement(r.entries["s1"], call.Statement{Leaving: true})
 	for _, name := range []string{"unborn", "earlier", "service", "unborn s", "first"} {
@@ -124,7 +124,7 @@
 			t.Errorf("after the entry %q the leaving upstream is used: %+v", name, candidates[0].Upstream)
 		}
 	}
-	r.Apply([]table.Row{{Key: "s1", Deleted: true}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1", Deleted: true}}})
 	apply("unborn")
 	if candidates := r.Candidates("ledger", "", ""); len(candidates) != 0 {
 		t.Error("an entry without a start brings a removed upstream back")
--- a/internal/gateway/route_query_test.go
+++ b/internal/gateway/route_query_test.go
@@ -69,7 +69,7 @@
 		slices.SortFunc(candidates, func(a, b Candidate) int { return strings.Compare(a.Upstream.ID, b.Upstream.ID) })
 	}
 	if !oneIn(random, 30) {
-		g.config.replica.ApplyPage(table.Page{Revision: 1}, true, clock.SinceBoot()-pick(random, 0, 0, 0, 0, 0, 0, 0, 0, 3*time.Second, 4900*time.Millisecond))
+		g.config.replica.ApplyPage(table.Page{Rows: []table.Row{{Key: "config"}}, Position: table.Position{Revision: 1}}, true, clock.SinceBoot()-pick(random, 0, 0, 0, 0, 0, 0, 0, 0, 3*time.Second, 4900*time.Millisecond))
 	}
 	if !oneIn(random, 4) {
 		g.exchanger.reachedAt.Store(int64(clock.SinceBoot() + time.Minute))
@@ -88,7 +88,7 @@
 			rows = append(rows, table.Row{Key: entry.ID, Value: []byte("{}")})
 		}
 	}
-	g.registry.Apply(rows, true)
+	g.registry.Apply(table.Change{Rows: rows, Full: true})
 	crowded := oneIn(random, 6)
 	for _, id := range slices.Sorted(maps.Keys(g.registry.entries)) {
 		entry := g.registry.entries[id]
--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -464,7 +464,7 @@
 	for i := range engines {
 		rows = append(rows, table.Row{Key: fmt.Sprintf("i-%010x", i)})
 	}
-	r.Apply(rows, true)
+	r.Apply(table.Change{Rows: rows, Full: true})
 	for i := range 15 {
 		r.TrackRequest(rows[i].Key, "m1", "", 1630)
 	}
--- a/internal/gateway/slowstart_test.go
+++ b/internal/gateway/slowstart_test.go
@@ -20,7 +20,7 @@
 	r.now = func() time.Duration { return now }
 	add := func(id string, revision int64) {
 		row := table.Row{Key: id, Value: []byte("{}"), Revision: revision}
-		r.Replica.ApplyPage(table.Page{Rows: []table.Row{row}, Revision: revision}, false, now)
+		r.Replica.ApplyPage(table.Page{Rows: []table.Row{row}, Position: table.Position{Revision: revision}}, false, now)
 	}
 	expect := func(want ...string) {
 		t.Helper()
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -45,7 +45,7 @@
 	r, entries, _ := newStatementRegistry()
 	entries["s1"], entries["s2"] = ledger("s1", 1), ledger("s2", 1)
 	rows := []table.Row{{Key: "s1"}, {Key: "s2"}}
-	r.Apply(rows, true)
+	r.Apply(table.Change{Rows: rows, Full: true})
 	chosen := r.Candidates("ledger", "", "")
 	first := entries["s1"]
 	r.RecordStatement(&first, call.Statement{Leaving: true})
@@ -56,10 +56,10 @@
 		}
 	}
 	check("told")
-	r.Apply(rows, true)
+	r.Apply(table.Change{Rows: rows, Full: true})
 	check("read again")
-	r.Apply([]table.Row{{Key: "s1", Deleted: true}}, false)
-	r.Apply([]table.Row{{Key: "s1"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1", Deleted: true}}})
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}})
 	check("entry back")
 	for _, candidate := range chosen {
 		if sent := r.BeginSend(candidate.Upstream); sent != (candidate.Upstream.ID == "s2") {
@@ -72,7 +72,7 @@
 		}
 	}
 	entries["s1"] = ledger("s1", 2)
-	r.Apply([]table.Row{{Key: "s1"}}, false)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}})
 	if !r.candidateIDs()["s1"] {
 		t.Error("s1 is not used after it has started again")
 	}
@@ -82,7 +82,7 @@
 func TestLeavingUpstreamOfAnotherHost(t *testing.T) {
 	r, entries, _ := newStatementRegistry()
 	entries["s1"] = ledger("s1", 7)
-	r.Apply([]table.Row{{Key: "s1"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}}, Full: true})
 	r.ApplyExchange(&coordinator.ExchangeReply{Leaving: []coordinator.Incarnation{{Upstream: "s1", StartedMS: 6}, {Upstream: "unknown", StartedMS: 7}}})
 	if !r.candidateIDs()["s1"] {
 		t.Error("s1 is not used although its predecessor left")
@@ -101,7 +101,7 @@
 func TestPausedUpstreamIsNoCandidate(t *testing.T) {
 	r, entries, now := newStatementRegistry()
 	entries["s1"], entries["s2"] = ledger("s1", 1), ledger("s2", 1)
-	r.Apply([]table.Row{{Key: "s1"}, {Key: "s2"}}, true)
+	r.Apply(table.Change{Rows: []table.Row{{Key: "s1"}, {Key: "s2"}}, Full: true})
 	first, second := entries["s1"], entries["s2"]
 	r.RecordStatement(&first, call.Statement{PauseFor: 3 * time.Second})
 	if ids := r.candidateIDs(); ids["s1"] || !ids["s2"] {
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -280,7 +280,16 @@
 func (e *Elector) readRow(ctx context.Context) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return e.Store.Get(ctx, Table, Key)
+	page, err := e.Store.Read(ctx, Table)
+	if err != nil {
+		return table.Row{}, err
+	}
+	for _, row := range page.Rows {
+		if row.Key == Key {
+			return row, nil
+		}
+	}
+	return table.Row{Key: Key}, nil
 }
 
 func (e *Elector) claim(ctx context.Context, last Observation) {
@@ -372,7 +381,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return e.Store.Put(ctx, Table, Key, expected, value)
+	written, err := e.Store.Commit(ctx, Table, table.Write{Key: Key, Expected: expected, Value: value})
+	return written.Revision, err
 }
 
 // Closing reports whether this host is about to hand over the lease.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -86,39 +87,51 @@
 	}
 }
 
-// memoryTable is a table with one row that can inject faults.
+// memoryTable is a table service with the lease table. It can inject faults and come back from
+// an older copy.
 type memoryTable struct {
 	mu            sync.Mutex
-	row           table.Row
+	position      table.Position
+	rows          map[string]table.Row
 	loseResponses bool // writes are applied without a response
 	refuse        bool
 	attempts      int
 }
 
-func (m *memoryTable) Get(context.Context, string, string) (table.Row, error) {
+func (m *memoryTable) Read(context.Context, string) (table.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.refuse {
-		return table.Row{}, &table.UnavailableError{Call: "get", Status: 503}
+		return table.Page{}, &table.UnavailableError{Call: "read", Status: 503}
 	}
-	return m.row, nil
+	return table.Page{Rows: slices.Collect(maps.Values(m.rows)), Position: m.position}, nil
 }
 
-func (m *memoryTable) Put(_ context.Context, _, key string, expected int64, value []byte) (int64, error) {
+func (m *memoryTable) Commit(_ context.Context, _ string, writes ...table.Write) (table.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.attempts++
 	if m.refuse {
-		return 0, &table.UnavailableError{Call: "put", Status: 503}
+		return table.Position{}, &table.UnavailableError{Call: "commit", Status: 503}
 	}
-	if m.row.Revision != expected {
-		return 0, &table.ConflictError{Key: key}
+	for _, write := range writes {
+		if m.rows[write.Key].Revision != write.Expected {
+			return table.Position{}, &table.ConflictError{Key: write.Key}
+		}
+	}
+	m.position.Revision++
+	if m.rows == nil {
+		m.rows = map[string]table.Row{}
+	}
+	for _, write := range writes {
+		if write.Value != nil {
+			m.rows[write.Key] = table.Row{Key: write.Key, Value: write.Value, Revision: m.position.Revision}
+		}
 	}
-	m.row = table.Row{Key: key, Value: value, Revision: expected + 1}
 	if m.loseResponses {
-		return 0, &table.UnavailableError{Call: "put", Unknown: true}
+		return table.Position{}, &table.UnavailableError{Call: "commit", Unknown: true}
 	}
-	return m.row.Revision, nil
+	return m.position, nil
 }
 
 func (m *memoryTable) update(change func(*memoryTable)) {
@@ -131,7 +144,7 @@
 	t.Helper()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	record, err := Decode(m.row.Value)
+	record, err := Decode(m.rows[Key].Value)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/table/follow.go
+++ b/internal/table/follow.go
@@ -54,7 +54,7 @@
 		if err == nil {
 			f.lastResponse = clock.SinceBoot()
 			if !connected {
-				f.Log.Info("Table followed again.", "table", f.Table, "revision", f.Replica.Revision())
+				f.Log.Info("Table followed again.", "table", f.Table, "revision", f.Replica.Position().Revision)
 			}
 			connected = true
 			_, pause := f.WatchTiming()
@@ -62,7 +62,7 @@
 			continue
 		}
 		if connected && ctx.Err() == nil {
-			f.Log.Info("Table lost.", "table", f.Table, "revision", f.Replica.Revision(), "error", err.Error())
+			f.Log.Info("Table lost.", "table", f.Table, "revision", f.Replica.Position().Revision, "error", err.Error())
 			connected = false
 		}
 		if f.OnFailure != nil && ctx.Err() == nil {
@@ -85,23 +85,29 @@
 // step makes one call to the table service.
 func (f *Follower) step(ctx context.Context) error {
 	requestedAt := clock.SinceBoot()
-	revision := f.Replica.Revision()
-	if revision < 0 || f.historyGone {
+	from := f.Replica.Position()
+	if from.Revision < 0 || f.historyGone {
 		return f.read(ctx, requestedAt)
 	}
 	wait, _ := f.WatchTiming()
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
-	page, err := f.Reader.Watch(ctx, f.Table, revision, wait)
+	page, err := f.Reader.Watch(ctx, f.Table, from.Revision, wait)
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
-		f.Log.Info("Change history no longer available; reading the whole table.", "table", f.Table, "revision", revision)
+		f.Log.Info("Change history no longer available; reading the whole table.", "table", f.Table, "revision", from.Revision)
 		f.historyGone = true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	if page.Generation != from.Generation {
+		f.Log.Info("Changes are of another generation; reading the whole table.", "table", f.Table,
+			"revision", from.Revision, "generation", from.Generation, "service_generation", page.Generation)
+		f.historyGone = true
+		return nil
+	}
 	f.Replica.ApplyPage(page, false, requestedAt)
 	return nil
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -16,28 +16,54 @@
 	Deleted  bool   `json:"deleted,omitempty"` // in change feeds only
 }
 
-// Page is the content or the changes of a table as of a revision.
+// Position is a point in the history of the table service. When the service comes back from
+// an older copy of its content, its generation increases, and it assigns the revisions since
+// that copy again: revisions of different generations can't be compared.
+type Position struct {
+	Generation int64 `json:"generation,omitempty"` // 0: the service states none
+	Revision   int64 `json:"revision"`
+}
+
+// Before reports whether p is an earlier point than q.
+func (p Position) Before(q Position) bool {
+	if p.Generation != q.Generation {
+		return p.Generation < q.Generation
+	}
+	return p.Revision < q.Revision
+}
+
+// Page is the content or the changes of a table as of a position.
 type Page struct {
-	Rows     []Row
-	Revision int64
+	Rows []Row
+	Position
 }
 
 // Reader reads and watches tables.
 type Reader interface {
-	// Read returns all rows of a table.
+	// Read returns all rows of a table, as of one generation.
 	Read(ctx context.Context, table string) (Page, error)
 	// Watch returns the changes after a revision. If there are none, it waits up to wait
-	// for one. It returns a HistoryGoneError if the changes are no longer available.
+	// for one. It returns a HistoryGoneError if the changes are no longer available. The page
+	// has the generation of the service at that time, which may be a later one than that of
+	// the revision.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
-// Committer reads and conditionally writes single rows.
+// Write is one row of a conditional write.
+type Write struct {
+	Key      string
+	Expected int64  // revision that the row must have; 0: the row is missing
+	Value    []byte // nil: the row is checked only
+}
+
+// Committer reads tables and writes rows conditionally.
 type Committer interface {
-	// Get returns one row; a missing row has revision 0.
-	Get(ctx context.Context, table, key string) (Row, error)
-	// Put writes a row if its revision equals expected (0: the row is missing) and returns
-	// the new revision. Otherwise it returns a ConflictError.
-	Put(ctx context.Context, table, key string, expected int64, value []byte) (int64, error)
+	// Read returns all rows of a table, as of one generation.
+	Read(ctx context.Context, table string) (Page, error)
+	// Commit writes rows of one table if all of them have the expected revisions, and returns
+	// the position of the write. Otherwise it returns a ConflictError. The write may have
+	// been applied in a later generation than that of the expected revisions.
+	Commit(ctx context.Context, table string, writes ...Write) (Position, error)
 }
 
 // HistoryGoneError reports that the changes requested by a watch are no longer available,
@@ -47,6 +73,18 @@
 // Error implements error.
 func (e *HistoryGoneError) Error() string { return "history of table " + e.Table + " is gone" }
 
+// GenerationChangedError reports that the service came back from an older copy while a table
+// was read.
+type GenerationChangedError struct {
+	Table         string
+	Before, After int64
+}
+
+// Error implements error.
+func (e *GenerationChangedError) Error() string {
+	return fmt.Sprintf("table %s: generation changed from %d to %d during the read", e.Table, e.Before, e.After)
+}
+
 // ConflictError reports that a row did not have the expected revision.
 type ConflictError struct{ Table, Key string }
 
--- a/tests/crashes/process_test.go
+++ b/tests/crashes/process_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/arbutusbank/arbutusbank/internal/lease"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 	"github.com/arbutusbank/arbutusbank/platform"
 	"github.com/arbutusbank/arbutusbank/platform/platformtest"
 	"github.com/arbutusbank/arbutusbank/tests/testbinary"
@@ -144,12 +146,13 @@
 func (f *fleet) coordinator() *host {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	row, err := f.reader.Get(ctx, lease.Table, lease.Key)
-	if err != nil {
+	page, err := f.reader.Read(ctx, lease.Table)
+	at := slices.IndexFunc(page.Rows, func(row table.Row) bool { return row.Key == lease.Key })
+	if err != nil || at < 0 {
 		return nil
 	}
 	var record lease.Record
-	if json.Unmarshal(row.Value, &record) != nil || record.Released {
+	if json.Unmarshal(page.Rows[at].Value, &record) != nil || record.Released {
 		return nil
 	}
 	for _, h := range f.hosts {
