Lease: holders of different generations of the table service

Cause: the token is the epoch in the lease row plus one, and the row goes back with the store. A row that is released, missing or names the reading host was taken for a free lease, while the lease of the holder whose row was lost still ran. A conditional write, and the validity that a holder reports, could match a revision that had been assigned again.

Change: epochs start at a floor for each generation (1,000,000 times its number), and above all that the host has heard of. The first write of a generation creates a marker row and rewrites the markers before it; all writes expect their marker, so none of an earlier generation succeeds afterwards. Without a marker the row stems from the copy: hosts wait for the longest lease, then leaseMs, before orders. A holder whose renewal is still valid when it first reads the new generation writes its row again and goes on with its term and token, as nobody can have had the lease since; after a failed renewal it tries again in 0.2 s. What the row before said of holders and hosts with shares is kept. Hosts of the build before write no marker; they are waited for like a holder of the copy.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/coldstart"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/pace"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 const (
@@ -38,9 +39,9 @@
 type Lease interface {
 	// Held reports whether this host holds the lease.
 	Held() bool
-	// Validity returns the revision of the lease row and the remaining validity of the
+	// Validity returns the position of the lease row and the remaining validity of the
 	// lease.
-	Validity() (revision int64, validFor time.Duration)
+	Validity() (row table.Position, validFor time.Duration)
 	// TimeUntilOrders returns the time until orders may be sent; 0 if they may be sent now.
 	TimeUntilOrders() time.Duration
 	// MayOrder returns the fencing token and true if an order that takes up to arrival to
@@ -155,9 +156,10 @@
 			engine.suspected = true
 		}
 	}
-	revision, validFor := c.lease.Validity()
+	row, validFor := c.lease.Validity()
 	reply := &ExchangeReply{
-		Holder: true, Epoch: epoch, Revision: revision, ValidForMS: validFor.Milliseconds(), Hosts: len(c.ledger.Hosts()),
+		Holder: true, Epoch: epoch, Revision: row.Revision, Generation: row.Generation, ValidForMS: validFor.Milliseconds(),
+		Hosts: len(c.ledger.Hosts()),
 	}
 	if config != nil {
 		reply.Grants = c.grants(now, config, request)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 // fakeLease is a lease that this host holds until ended is set. Orders pause while paused is set.
@@ -27,8 +28,10 @@
 	return 0
 }
 
-func (l *fakeLease) Held() bool                       { return !l.ended.Load() }
-func (l *fakeLease) Validity() (int64, time.Duration) { return 1, time.Second }
+func (l *fakeLease) Held() bool { return !l.ended.Load() }
+func (l *fakeLease) Validity() (table.Position, time.Duration) {
+	return table.Position{Revision: 1}, time.Second
+}
 func (l *fakeLease) MayOrder(time.Duration) (int64, bool) {
 	return 1, !l.ended.Load() && !l.paused.Load()
 }
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -244,9 +244,10 @@
 	// HandingOver reports that the coordinator is handing over the lease. Its wire name is
 	// leaving.
 	HandingOver bool `json:"leaving,omitempty"`
-	// Revision is the revision of the lease row; ValidForMS is the remaining validity of
-	// the lease.
+	// Revision is the revision of the lease row, Generation the generation of the table service
+	// in which it was written; ValidForMS is the remaining validity of the lease.
 	Revision   int64                      `json:"revision"`
+	Generation int64                      `json:"generation,omitempty"`
 	ValidForMS int64                      `json:"valid_for_ms"`
 	Hosts      int                        `json:"hosts"`              // number of hosts that may spend from local shares
 	PoolHosts  []PoolHost                 `json:"stewards,omitempty"` // in the order in which to try them; wire name: stewards
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -149,7 +149,10 @@
 	}
 	now := clock.SinceBoot()
 	e.recordResponse(now, reply.Epoch)
-	e.elector.Observe(reply.Revision, time.Duration(reply.ValidForMS)*time.Millisecond)
+	e.elector.Observe(lease.Report{
+		Position: table.Position{Generation: reply.Generation, Revision: reply.Revision}, Epoch: reply.Epoch,
+		ValidFor: time.Duration(reply.ValidForMS) * time.Millisecond,
+	})
 	e.hostCount.Store(int64(reply.Hosts))
 	e.retryBudget.SetHosts(reply.Hosts)
 	if reply.HandingOver {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,7 @@
 	g.exchanger.poolExchanger = newPoolExchanger(&g.settings, g.log, g.exchanger.balances, g.config.current.Load, &g.exchanger.client)
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
-	g.elector.OnAcquired = func(last lease.Record) { g.coordinator.BeginTerm(last.Holder == "", last.Hosts) }
+	g.elector.OnAcquired = func(handover lease.Handover) { g.coordinator.BeginTerm(handover.First, handover.Hosts) }
 	g.slots = newSlotQueue(g)
 	g.exchanger.slots = g.slots
 	g.exchanger.quarantine.host = s.Host
--- a/internal/gateway/quarantine_sim_test.go
+++ b/internal/gateway/quarantine_sim_test.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
 	"github.com/arbutusbank/arbutusbank/internal/quarantine"
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 const (
@@ -33,8 +34,10 @@
 // simLease is held by the host that coordinates.
 type simLease struct{}
 
-func (simLease) Held() bool                           { return true }
-func (simLease) Validity() (int64, time.Duration)     { return 1, time.Second }
+func (simLease) Held() bool { return true }
+func (simLease) Validity() (table.Position, time.Duration) {
+	return table.Position{Revision: 1}, time.Second
+}
 func (simLease) TimeUntilOrders() time.Duration       { return 0 }
 func (simLease) MayOrder(time.Duration) (int64, bool) { return 1, true }
 
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	// renewInterval is the time between two renewals.
+	// renewInterval is the time between two renewals, retryInterval that after one that failed
+	// while the lease is valid.
 	renewInterval = 600 * time.Millisecond
+	retryInterval = 200 * time.Millisecond
 	// pollInterval is the time between two reads of the row while the coordinator cannot be
 	// reached.
 	pollInterval = 400 * time.Millisecond
@@ -59,21 +61,28 @@
 	// CoordinatorReachable reports whether the coordinator answers this host, in which case
 	// the row need not be polled.
 	CoordinatorReachable func() bool
-	// OnAcquired is called with the previous holder's record when this host has acquired
-	// the lease. Orders may be sent from the time that Terms.OrdersFrom returns.
-	OnAcquired func(last Record)
-
-	mu                sync.Mutex
-	observed          Observation
-	reported          ReportedValidity
-	held              bool
-	validUntil        time.Duration
-	ordersFrom        time.Duration
-	closing           bool
-	claimableSince    time.Duration // when the lease was first seen to be claimable
-	claimableRevision int64         // row revision that was claimable then
-	claimFrom         time.Duration // when this host may claim it; used by the polling goroutine only
-	pollRequested     chan struct{} // closed to request a poll; nil: nobody waits
+	// OnAcquired is called when this host has acquired the lease. Orders may be sent from the
+	// time that Terms.OrdersFrom returns.
+	OnAcquired func(Handover)
+	// Config returns what the row is to say of the configuration. Optional.
+	Config func() ConfigState
+	// OnObserved is called with each row that is read. Optional.
+	OnObserved func(Observation)
+
+	mu             sync.Mutex
+	observed       Observation
+	snapshot       snapshot // that was observed
+	lost           lostRecords
+	highestEpoch   int64 // that this host has heard of
+	reported       reportedValidity
+	held           bool
+	validUntil     time.Duration
+	ordersFrom     time.Duration
+	closing        bool
+	claimableSince time.Duration  // when the lease was first seen to be claimable
+	claimableAt    table.Position // of the row that was claimable then
+	claimFrom      time.Duration  // when this host may claim it; used by the polling goroutine only
+	pollRequested  chan struct{}  // closed to request a poll; nil: nobody waits
 }
 
 // Status is a snapshot of the lease as this host knows it.
@@ -104,22 +113,23 @@
 	return e.held && now < e.validUntil
 }
 
-// Validity returns the revision of the row and the remaining validity of the lease.
-func (e *Elector) Validity() (revision int64, validFor time.Duration) {
+// Validity returns the position of the row and the remaining validity of the lease.
+func (e *Elector) Validity() (row table.Position, validFor time.Duration) {
 	now := clock.SinceBoot()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.observed.Revision, e.validUntil - now
+	return e.observed.position(), e.validUntil - now
 }
 
 // Observe records what the holder reported about its lease, so that a lease that expires
 // without a renewal is known to have expired.
-func (e *Elector) Observe(revision int64, validFor time.Duration) {
+func (e *Elector) Observe(report Report) {
 	now := clock.SinceBoot()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.held && revision >= e.reported.Revision {
-		e.reported = ReportedValidity{Revision: revision, ValidUntil: now + validFor}
+	e.highestEpoch = max(e.highestEpoch, report.Epoch)
+	if !e.held && !report.Before(e.reported.Position) {
+		e.reported = reportedValidity{Position: report.Position, validUntil: now + report.ValidFor}
 	}
 }
 
@@ -160,8 +170,9 @@
 	for ctx.Err() == nil {
 		switch {
 		case e.shouldRenew():
-			e.confined(ctx, e.renew)
-			clock.Sleep(ctx, renewInterval)
+			renewed := false
+			e.confined(ctx, func(ctx context.Context) { renewed = e.renew(ctx) })
+			clock.Sleep(ctx, e.untilNextRenewal(renewed))
 		default:
 			requested := e.waitForPoll(ctx, e.untilNextPoll(clock.SinceBoot()))
 			if requested || !e.CoordinatorReachable() {
@@ -171,6 +182,16 @@
 	}
 }
 
+// untilNextRenewal returns the time until the next renewal. After one that failed it is due soon
+// while the lease is valid: only until then the holder can write a row again that the table
+// service has lost.
+func (e *Elector) untilNextRenewal(renewed bool) time.Duration {
+	if renewed || !e.Held() {
+		return renewInterval
+	}
+	return retryInterval
+}
+
 // untilNextPoll returns the time until the next poll, which is due when this host may claim
 // the lease, and soon enough for it to hear of a new holder.
 func (e *Elector) untilNextPoll(now time.Duration) time.Duration {
@@ -232,38 +253,55 @@
 
 // poll reads the row and claims the lease if it is claimable.
 func (e *Elector) poll(ctx context.Context) {
-	row, err := e.readRow(ctx)
+	read, err := e.read(ctx)
 	if err != nil {
 		return
 	}
 	now := clock.SinceBoot()
-	record, err := Decode(row.Value)
+	last, closing, ok := e.observe(read, now)
+	if !ok || closing || !e.Terms.Claimable(last, e.Host, now) {
+		return
+	}
+	if e.claimableSince == 0 || e.claimableAt != last.position() {
+		e.claimableSince, e.claimableAt = now, last.position()
+	}
+	e.claimFrom = e.claimableSince + e.claimDelay(last.Record, now)
+	if now < e.claimFrom {
+		return // the next poll shows whether another host has claimed it
+	}
+	e.claim(ctx, last)
+}
+
+// observe records what was read. ok is false for a late response of an earlier generation.
+func (e *Elector) observe(read snapshot, now time.Duration) (last Observation, closing, ok bool) {
+	record, err := Decode(read.row.Value)
 	if err != nil {
 		e.Log.Error(err, "Cannot decode lease row; treating the lease as having no known holder.")
 	}
 	e.mu.Lock()
-	if row.Revision != e.observed.Revision || e.observed.Since == 0 {
-		e.observed = Observation{Record: record, Revision: row.Revision, Since: now}
+	if read.Generation < e.observed.Generation {
+		e.mu.Unlock()
+		return Observation{}, false, false
+	}
+	e.beginGeneration(read, record)
+	next := Observation{Record: record, Revision: read.row.Revision, Generation: read.Generation, Restored: read.restored(), Since: now}
+	if e.observed.Since != 0 && next.position() == e.observed.position() {
+		next.Since = e.observed.Since
 	}
-	if e.reported.Revision == row.Revision {
-		e.observed.Expires = e.reported.ValidUntil
+	if e.reported.Position == next.position() {
+		next.Expires = e.reported.validUntil
 	}
-	last, closing := e.observed, e.closing
+	e.observed, e.snapshot = next, read
+	e.highestEpoch = max(e.highestEpoch, record.Epoch)
 	if e.held && record.Holder != e.Host {
 		e.held = false // handed over
 	}
+	closing = e.closing
 	e.mu.Unlock()
-	if closing || !e.Terms.Claimable(last, e.Host, now) {
-		return
-	}
-	if e.claimableSince == 0 || e.claimableRevision != last.Revision {
-		e.claimableSince, e.claimableRevision = now, last.Revision
-	}
-	e.claimFrom = e.claimableSince + e.claimDelay(last.Record, now)
-	if now < e.claimFrom {
-		return // the next poll shows whether another host has claimed it
+	if e.OnObserved != nil {
+		e.OnObserved(next)
 	}
-	e.claim(ctx, last)
+	return next, closing, true
 }
 
 // claimDelay returns how long this host leaves a claimable lease to other hosts. After a
@@ -277,112 +315,134 @@
 	return wait
 }
 
-func (e *Elector) readRow(ctx context.Context) (table.Row, error) {
+func (e *Elector) read(ctx context.Context) (snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := e.Store.Read(ctx, Table)
-	if err != nil {
-		return table.Row{}, err
-	}
-	for _, row := range page.Rows {
-		if row.Key == Key {
-			return row, nil
-		}
-	}
-	return table.Row{Key: Key}, nil
+	return newSnapshot(page), err
 }
 
+// claim writes this host as the holder in place of the last observed one.
 func (e *Elector) claim(ctx context.Context, last Observation) {
 	start := clock.SinceBoot()
+	e.mu.Lock()
+	read, lost, highestEpoch := e.snapshot, e.lost, e.highestEpoch
+	e.mu.Unlock()
 	record := Record{
-		Holder: e.Host, Address: e.Address, Epoch: last.Record.Epoch + 1, Renewal: rand.Int64(),
-		Former: formerAfter(last.Record, e.Host), Hosts: last.Record.Hosts,
+		Holder: e.Host, Address: e.Address, Epoch: max(last.Record.Epoch, highestEpoch, epochFloor(last.Generation)) + 1, Renewal: rand.Int64(),
+		Former: formerAfter(last.Record, e.Host), Hosts: last.Record.Hosts, Config: e.config(),
+	}
+	if last.Restored {
+		record.Former, record.Hosts = lost.complete(last.Record, e.Host)
 	}
-	revision, err := e.writeRow(ctx, last.Revision, record)
+	written, err := e.write(ctx, read, record)
 	if err != nil {
 		e.Log.Info("Lease claim failed.", "epoch", record.Epoch, "last_holder", last.Record.Holder, "error", err.Error())
 		return
 	}
 	e.mu.Lock()
 	e.ordersFrom = e.Terms.OrdersFrom(last, e.Host, start)
-	e.validUntil = start + e.Terms.Duration
-	e.observed = Observation{Record: record, Revision: revision, Since: clock.SinceBoot()}
 	e.held = true
 	wait := e.ordersFrom - start
 	e.mu.Unlock()
-	e.Log.Info("Lease taken.", "epoch", record.Epoch, "revision", revision, "last_holder", last.Record.Holder,
+	e.extend(record, written, start)
+	e.Log.Info("Lease taken.", "epoch", record.Epoch, "revision", written.Revision, "generation", written.Generation,
+		"last_holder", last.Record.Holder, "restored", last.Restored,
 		"last_seen_ms", (start - last.Since).Milliseconds(), "orders_in_ms", wait.Milliseconds())
-	e.OnAcquired(last.Record)
+	e.OnAcquired(Handover{First: last.Record.Holder == "" && !last.Restored, Hosts: record.Hosts})
 }
 
-// renew extends the lease. If the response is lost, the row tells whether the renewal was
-// written.
-func (e *Elector) renew(ctx context.Context) {
+// config returns what the row is to say of the configuration.
+func (e *Elector) config() ConfigState {
+	if e.Config == nil {
+		return ConfigState{}
+	}
+	return e.Config()
+}
+
+// renew extends the lease and reports whether it did. If the response is lost, the row tells
+// whether the renewal was written.
+func (e *Elector) renew(ctx context.Context) bool {
 	e.mu.Lock()
-	last := e.observed
-	active := clock.SinceBoot() >= e.ordersFrom
+	read, record := e.snapshot, e.observed.Record
+	record.Active = clock.SinceBoot() >= e.ordersFrom
 	e.mu.Unlock()
-	record := last.Record
-	record.Active = active
 	record.Hosts = e.Hosts()
+	record.Config = e.config()
 	record.Renewal = rand.Int64()
 	start := clock.SinceBoot()
-	revision, err := e.writeRow(ctx, last.Revision, record)
+	written, err := e.write(ctx, read, record)
 	if err == nil {
-		e.extend(record, revision, start)
-		return
+		e.extend(record, written, start)
+		return true
 	}
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	e.Log.Info("Lease not renewed.", "epoch", record.Epoch, "valid_for_ms", e.Status().ValidFor.Milliseconds(), "error", err.Error())
-	e.resolveRenewal(ctx, record, start)
+	return e.resolveRenewal(ctx, record, start)
 }
 
-// resolveRenewal determines whether a renewal without a response was written.
-func (e *Elector) resolveRenewal(ctx context.Context, tried Record, start time.Duration) {
-	row, err := e.readRow(ctx)
+// resolveRenewal determines whether a renewal without a response was written, and reports whether
+// the lease was extended.
+func (e *Elector) resolveRenewal(ctx context.Context, tried Record, start time.Duration) bool {
+	read, err := e.read(ctx)
 	if err != nil {
-		return // the next renewal tries again
+		return false // the next renewal tries again
 	}
-	current, err := Decode(row.Value)
+	now := clock.SinceBoot()
+	if e.mayRestore(read, now) {
+		return e.restore(ctx, read, tried)
+	}
+	current, err := Decode(read.row.Value)
 	if err != nil {
 		e.Log.Error(err, "Cannot decode lease row.")
-		return
+		return false
 	}
-	if current.Holder == e.Host && current.Epoch == tried.Epoch {
-		if current.Renewal == tried.Renewal {
-			e.extend(current, row.Revision, start)
-			return
-		}
-		e.mu.Lock()
-		e.observed.Revision, e.observed.Record = row.Revision, current
-		e.mu.Unlock()
-		return
+	sameTerm := !read.restored() && current.Holder == e.Host && current.Epoch == tried.Epoch
+	if sameTerm && current.Renewal == tried.Renewal {
+		e.extend(current, read, start)
+		return true
+	}
+	if _, _, ok := e.observe(read, now); !ok || sameTerm {
+		return false
 	}
 	e.mu.Lock()
 	e.held = false
-	e.observed = Observation{Record: current, Revision: row.Revision, Since: clock.SinceBoot()}
 	e.mu.Unlock()
-	e.Log.Info("Lease lost.", "epoch", tried.Epoch, "holder", current.Holder, "holder_epoch", current.Epoch)
+	e.Log.Info("Lease lost.", "epoch", tried.Epoch, "holder", current.Holder, "holder_epoch", current.Epoch, "generation", read.Generation,
+		"restored", read.restored())
+	return false
 }
 
-func (e *Elector) extend(record Record, revision int64, start time.Duration) {
+// extend records a row that this host has written in a call that began at start.
+func (e *Elector) extend(record Record, written snapshot, start time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.observed = Observation{Record: record, Revision: revision, Since: clock.SinceBoot()}
+	e.snapshot = written
+	e.highestEpoch = max(e.highestEpoch, record.Epoch)
+	e.observed = Observation{
+		Record: record, Revision: written.row.Revision, Generation: written.Generation, Since: clock.SinceBoot(),
+	}
 	e.validUntil = start + e.Terms.Duration
 }
 
-func (e *Elector) writeRow(ctx context.Context, expected int64, record Record) (int64, error) {
+// write writes the row if the lease table is still as it was read, and returns its content. It
+// returns a table.GenerationChangedError if the write was applied in a later generation: it is
+// void then.
+func (e *Elector) write(ctx context.Context, read snapshot, record Record) (snapshot, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
-		return 0, &DecodeError{Cause: err}
+		return snapshot{}, &DecodeError{Cause: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	written, err := e.Store.Commit(ctx, Table, table.Write{Key: Key, Expected: expected, Value: value})
-	return written.Revision, err
+	writes := read.writes(value)
+	at, err := e.Store.Commit(ctx, Table, writes...)
+	if err == nil && at.Generation != read.Generation {
+		err = &table.GenerationChangedError{Table: Table, Before: read.Generation, After: at.Generation}
+	}
+	return read.after(writes, at), err
 }
 
 // Closing reports whether this host is about to hand over the lease.
@@ -398,17 +458,16 @@
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.closing = true
-	held, last := e.held, e.observed
+	held, read, record := e.held, e.snapshot, e.observed.Record
 	e.mu.Unlock()
 	if !held {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	record := last.Record
 	record.Released = true
 	record.Renewal = rand.Int64()
-	_, err := e.writeRow(ctx, last.Revision, record)
+	_, err := e.write(ctx, read, record)
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		e.Log.Info("Lease row changed before the release.", "epoch", record.Epoch)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
 // Record is the content of the lease row.
@@ -25,6 +27,22 @@
 	Released bool `json:"released,omitempty"`
 	// Hosts are the hosts to which the holder has assigned allowance shares.
 	Hosts []string `json:"hosts,omitempty"`
+	// Config is what the holder knows of the configuration.
+	Config ConfigState `json:"config,omitzero"`
+}
+
+// ConfigState is what a holder knows of the configuration.
+type ConfigState struct {
+	Version int64 `json:"version,omitempty"` // the newest that any host is known to have
+	// Unsettled reports that hosts may have a newer one that they have not reported yet.
+	Unsettled bool `json:"unsettled,omitempty"`
+}
+
+// Handover is what the next holder takes over from the one before.
+type Handover struct {
+	First bool // there was no holder before
+	// Hosts are the hosts to which earlier holders have assigned allowance shares.
+	Hosts []string
 }
 
 // DecodeError reports a lease row that cannot be decoded.
@@ -67,24 +85,41 @@
 // Observation is a host's observation of the row. Times are on the boot clock
 // (clock.SinceBoot).
 type Observation struct {
-	Record   Record
-	Revision int64
-	// Since is when this host first read the revision (end of the call).
+	Record     Record
+	Revision   int64
+	Generation int64 // of the table service
+	// Restored reports that the row stems from the copy from which the table service came back:
+	// another host may have held the lease since, and hold it still.
+	Restored bool
+	// Since is when this host first read the revision in this generation (end of the call).
 	Since time.Duration
 	// Expires is when the renewal expires according to the holder; 0: unknown.
 	Expires time.Duration
 }
 
-// ReportedValidity is what a holder reported about its lease.
-type ReportedValidity struct {
-	Revision   int64
-	ValidUntil time.Duration // on this host's boot clock
+func (o Observation) position() table.Position {
+	return table.Position{Generation: o.Generation, Revision: o.Revision}
 }
 
-// expiry returns the latest time at which the lease of the observed holder expires.
+// Report is what a holder reports about its lease.
+type Report struct {
+	table.Position // of the row
+	Epoch          int64
+	ValidFor       time.Duration
+}
+
+// reportedValidity is the validity of a lease according to its holder.
+type reportedValidity struct {
+	table.Position
+	validUntil time.Duration // on this host's boot clock
+}
+
+// expiry returns the latest time at which the lease of the observed holder expires. If the row is
+// restored, that is the lease of whoever held it when the table service went back: it was renewed
+// before this host first read the row in this generation.
 func (t Terms) expiry(o Observation) time.Duration {
 	seen := o.Since + t.Duration
-	if o.Expires != 0 {
+	if o.Expires != 0 && !o.Restored {
 		return min(seen, o.Expires)
 	}
 	return seen
@@ -97,10 +132,14 @@
 
 // claimableFrom returns the time from which a host may try to acquire the lease.
 func (t Terms) claimableFrom(o Observation, host string) time.Duration {
-	if o.Revision == 0 || o.Record.Released || o.Record.Holder == host {
+	switch {
+	case o.Restored:
+		return t.expiry(o) + t.SafetyMargin // the holder writes its row again meanwhile
+	case o.Revision == 0 || o.Record.Released || o.Record.Holder == host:
 		return o.Since // free, or held by an earlier process of this host
+	default:
+		return t.expiry(o) + t.SafetyMargin
 	}
-	return t.expiry(o) + t.SafetyMargin
 }
 
 // OrdersFrom returns the time from which a host that has just acquired the lease may send
@@ -113,6 +152,9 @@
 		wait = max(wait, t.ReacquireDelay)
 	}
 	switch {
+	case last.Restored:
+		// This host may have held the lease before the holder whose row was lost.
+		return t.expiry(last) + max(t.MaxOrderDelay, t.ReacquireDelay) + t.SafetyMargin
 	case last.Revision == 0:
 		return now
 	case last.Record.Holder == host && last.Record.Active:
@@ -131,11 +173,30 @@
 
 // formerAfter returns the former holders to be listed when a host acquires the lease.
 func formerAfter(last Record, host string) []string {
-	var former []string
-	for _, name := range append([]string{last.Holder}, last.Former...) {
-		if name != "" && name != host && len(former) < maxFormerHolders {
-			former = append(former, name)
+	return firstNames(maxFormerHolders, append([]string{last.Holder}, last.Former...), host)
+}
+
+// firstNames returns up to limit different names, without "" and the excluded one.
+func firstNames(limit int, names []string, excluded string) []string {
+	var first []string
+	for _, name := range names {
+		if name != "" && name != excluded && !slices.Contains(first, name) && len(first) < limit {
+			first = append(first, name)
 		}
 	}
-	return former
+	return first
+}
+
+const (
+	// epochsPerGeneration separates the epochs of generations of the table service: the row from
+	// which a holder takes its epoch may be lost, its generation is not.
+	epochsPerGeneration = 1_000_000
+	// maxEpochGeneration bounds the generation that is part of an epoch, which JSON readers take
+	// for a number of 53 bits.
+	maxEpochGeneration = 1 << 52 / epochsPerGeneration
+)
+
+// epochFloor returns an epoch that is higher than all those of earlier generations.
+func epochFloor(generation int64) int64 {
+	return min(generation, maxEpochGeneration) * epochsPerGeneration
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -87,14 +87,20 @@
 	}
 }
 
+// content is the content of a memoryTable at one moment.
+type content struct {
+	position table.Position
+	rows     map[string]table.Row
+}
+
 // memoryTable is a table service with the lease table. It can inject faults and come back from
 // an older copy.
 type memoryTable struct {
-	mu            sync.Mutex
-	position      table.Position
-	rows          map[string]table.Row
+	mu sync.Mutex
+	content
 	loseResponses bool // writes are applied without a response
 	refuse        bool
+	beforeCommit  func(*memoryTable) // may be nil
 	attempts      int
 }
 
@@ -111,6 +117,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.attempts++
+	if m.beforeCommit != nil {
+		m.beforeCommit(m)
+	}
 	if m.refuse {
 		return table.Position{}, &table.UnavailableError{Call: "commit", Status: 503}
 	}
@@ -154,7 +163,7 @@
 func newElector(host string, store table.Committer, terms Terms) *Elector {
 	return &Elector{
 		Host: host, Address: host + ":1", Terms: terms, Store: store, Log: logr.Discard(),
-		Hosts: func() []string { return nil }, CoordinatorReachable: func() bool { return false }, OnAcquired: func(Record) {},
+		Hosts: func() []string { return nil }, CoordinatorReachable: func() bool { return false }, OnAcquired: func(Handover) {},
 	}
 }
 
@@ -206,8 +215,8 @@
 	a, b := newElector("a", store, terms), newElector("b", store, terms)
 	ctx := context.Background()
 	a.poll(ctx)
-	revision, validFor := a.Validity()
-	b.Observe(revision, validFor)
+	row, validFor := a.Validity()
+	b.Observe(Report{Position: row, ValidFor: validFor})
 	ended := clock.SinceBoot() + validFor
 	time.Sleep(80 * time.Millisecond)
 	if _, ok := a.MayOrder(0); ok {
--- a/tests/crashes/process_test.go
+++ b/tests/crashes/process_test.go
@@ -67,6 +67,7 @@
 	t.Helper()
 	f := &fleet{t: t, store: platformtest.NewStore(), callers: &http.Client{Timeout: 8 * time.Second}}
 	t.Cleanup(f.store.Close)
+	f.store.Set(lease.Table, lease.MarkerKey(1), struct{}{}) // hosts have held the lease before
 	f.reader = platform.NewStore(f.store.Address())
 	f.store.Set("op", "config", map[string]any{
 		"version": 1,
--- a/tests/gateway/fleet_test.go
+++ b/tests/gateway/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/arbutusbank/arbutusbank/internal/gateway"
+	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/platform"
 	"github.com/arbutusbank/arbutusbank/platform/platformtest"
 )
@@ -104,6 +105,7 @@
 	t.Parallel()
 	f := &testFleet{t: t, store: platformtest.NewStore(), gate: newGate(), loopback: loopbackAddress(fleetCount.Add(1)), chosen: map[string]bool{}, models: 6, bodyBytes: 4096}
 	t.Cleanup(f.store.Close)
+	f.store.Set(lease.Table, lease.MarkerKey(1), struct{}{}) // hosts have held the lease before
 	f.engine = platformtest.NewWorker("engine-1", "llm", "m1")
 	f.ledgers = []*platformtest.Worker{
 		platformtest.NewWorker("ledger-1", "ledger"), platformtest.NewWorker("ledger-2", "ledger"),
