Gateway: a version that the table has lost is still the newest one

Cause: with the table replaced as a whole by that of the next generation, nothing told such a host of a version that others have in force. Versions have an order of their own, which the store's generation must not undo.

Change: hosts and the coordinator state their versions in each exchange; one that the table lacks is passed on by whoever has it; a host that hears of a newer one counts no further confirmation of its own until it has it. Confirmations of a new generation count once a coordinator says that the hosts have told it theirs (1.2 s after the start of its term), at the latest after 4 s; until then the last one before counts. The lease row says what the holder knows, for hosts that start.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -141,6 +141,10 @@
 	// generations of these revisions. Hosts of an earlier version of the program leave these out.
 	Tables      map[string]int64 `json:"tables,omitempty"`
 	Generations map[string]int64 `json:"generations,omitempty"`
+	// ConfigVersion is the version of the configuration that the host has; Config is its row, if
+	// the coordinator wanted it.
+	ConfigVersion int64      `json:"config_version,omitempty"`
+	Config        *table.Row `json:"config,omitempty"`
 	// Paces are new samples of upstreams that are notably faster or slower than usual, or
 	// shared as such.
 	Paces []PaceSample `json:"paces,omitempty"`
@@ -267,6 +271,15 @@
 	Suspected []quarantine.Key `json:"suspected,omitempty"`
 	// Tables are the updates for the host's table replicas, by table.
 	Tables map[string]table.Update `json:"tables,omitempty"`
+	// ConfigVersion is the newest version of the configuration that any host is known to have.
+	// ConfigWanted reports that the coordinator lacks the host's version. Config is the row of
+	// the coordinator's version if the host lacks it and the table service has lost it.
+	ConfigVersion int64      `json:"config_version,omitempty"`
+	ConfigWanted  bool       `json:"config_wanted,omitempty"`
+	Config        *table.Row `json:"config,omitempty"`
+	// SettledGeneration is the generation of the table service for which the hosts have told
+	// the coordinator of their versions; 0: none, or the service states none.
+	SettledGeneration int64 `json:"settled_generation,omitempty"`
 	// Running counts the requests of all other hosts at upstreams with notable load.
 	Running []RunningCount `json:"running,omitempty"`
 	// Queued are the models and plain services for which any host has too few slots.
--- a/internal/gateway/allowance_calls.go
+++ b/internal/gateway/allowance_calls.go
@@ -51,7 +51,7 @@
 // callAllowance asks for what requests wait for now. It returns a NoCoordinatorError if the
 // called host does not hold the lease.
 func (e *exchanger) callAllowance(ctx context.Context) error {
-	config := e.config()
+	config := e.config.current.Load()
 	if config == nil {
 		return nil
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/arbutusbank/arbutusbank/internal/allowance"
-	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
 	"github.com/arbutusbank/arbutusbank/internal/confine"
 	"github.com/arbutusbank/arbutusbank/internal/coordinator"
@@ -54,7 +53,7 @@
 	elector       *lease.Elector
 	coordinator   *coordinator.Coordinator
 	client        coordinator.Client
-	config        func() *catalog.Config
+	config        *configuration
 	registry      *Registry
 	demand        *demandTracker
 	balances      *allowance.Balances
@@ -71,6 +70,8 @@
 	epoch        atomic.Int64 // of the coordinator that responded last
 	relayedAt    atomic.Int64 // end of the last exchange that confirmed all replicas, on the boot clock
 	hostCount    atomic.Int64
+	acquiredAt   atomic.Int64 // when this host acquired the lease last, on the boot clock
+	configWanted atomic.Bool  // the coordinator lacks this host's version of the configuration
 	adapterCalls adapterCallGroup
 
 	allowanceWake chan struct{} // requests wait for a grant
@@ -159,6 +160,7 @@
 		e.elector.PollSoon()
 	}
 	e.applyTables(reply, requestedAt, now)
+	e.applyConfig(reply)
 	e.demand.observeEstimates(time.Now(), reply.Estimates)
 	e.registry.ApplyExchange(reply)
 	e.registry.cold.applyReply(reply, requestedAt)
@@ -166,7 +168,7 @@
 	if e.quarantine.apply(report, reply) {
 		e.exchangeSoon()
 	}
-	if config := e.config(); config != nil {
+	if config := e.config.current.Load(); config != nil {
 		e.balances.Apply(now, allowance.Shares(config.Workspaces, reply.Hosts), reply.Grants)
 	}
 	e.poolExchanger.observePoolHosts(reply.PoolHosts, reply.Hosts)
@@ -221,15 +223,16 @@
 		Paces: paces, PaceVersion: paceVersion,
 	}
 	e.slots.report(request)
+	e.reportConfig(request)
 	request.Generations = map[string]int64{}
 	for name, replica := range e.replicas {
 		position := replica.Position()
 		request.Tables[name], request.Generations[name] = position.Revision, position.Generation
 	}
-	if config := e.config(); config != nil && config.LimitsCold() {
+	if config := e.config.current.Load(); config != nil && config.LimitsCold() {
 		e.registry.fillCold(request)
 	}
-	if config := e.config(); config != nil {
+	if config := e.config.current.Load(); config != nil {
 		request.Needs = e.balances.Needs(clock.SinceBoot(), config.Workspaces)
 	}
 	return request
@@ -252,6 +255,9 @@
 func (e *exchanger) Exchange(_ context.Context, request *coordinator.ExchangeRequest) *coordinator.ExchangeReply {
 	reply := e.coordinator.Exchange(e.elector.Coordinator().Epoch, request)
 	reply.HandingOver = e.elector.Closing()
+	if reply.Holder {
+		e.exchangeConfig(request, reply)
+	}
 	if reply.Holder && request.Host != e.settings.Host {
 		reply.Tables = map[string]table.Update{}
 		for name, revision := range request.Tables {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	}
 	g.intake = newIntake(g)
 	g.config.replica.OnChange = g.config.apply
+	g.config.settlement.begin(0, 0)
 	g.uncertainEnds = newUncertainEnds()
 	g.random = rand.New(globalSource{})
 	g.registry = NewRegistry(options.DecodeUpstream, g.connections.CloseIdle, options.Log)
@@ -132,7 +133,7 @@
 	}
 	g.coordinator = coordinator.New(s.Host, g.elector, fleetState{g.registry, g.config}, options.Engines(g.recordStatement), options.Log)
 	g.exchanger = &exchanger{
-		settings: &g.settings, log: options.Log, elector: g.elector, coordinator: g.coordinator, config: g.config.current.Load,
+		settings: &g.settings, log: options.Log, elector: g.elector, coordinator: g.coordinator, config: g.config,
 		registry: g.registry, demand: newDemandTracker(), balances: allowance.NewBalances(), retryBudget: NewRetryBudget(s.retryLimits()),
 		quarantine: newRequestQuarantine(),
 		wake:       make(chan struct{}, 1), allowanceWake: make(chan struct{}, 1),
@@ -149,7 +150,12 @@
 	g.exchanger.poolExchanger = newPoolExchanger(&g.settings, g.log, g.exchanger.balances, g.config.current.Load, &g.exchanger.client)
 	g.elector.Hosts = g.coordinator.Hosts
 	g.elector.CoordinatorReachable = g.exchanger.Reached
-	g.elector.OnAcquired = func(handover lease.Handover) { g.coordinator.BeginTerm(handover.First, handover.Hosts) }
+	g.elector.Config = g.exchanger.leaseConfig
+	g.elector.OnObserved = g.exchanger.observeLease
+	g.elector.OnAcquired = func(handover lease.Handover) {
+		g.exchanger.acquiredAt.Store(int64(clock.SinceBoot()))
+		g.coordinator.BeginTerm(handover.First, handover.Hosts)
+	}
 	g.slots = newSlotQueue(g)
 	g.exchanger.slots = g.slots
 	g.exchanger.quarantine.host = s.Host
--- a/internal/gateway/generation_test.go
+++ b/internal/gateway/generation_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/arbutusbank/arbutusbank/internal/catalog"
 	"github.com/arbutusbank/arbutusbank/internal/clock"
+	"github.com/arbutusbank/arbutusbank/internal/coordinator"
+	"github.com/arbutusbank/arbutusbank/internal/lease"
 	"github.com/arbutusbank/arbutusbank/internal/table"
 )
 
@@ -104,3 +106,121 @@
 		}
 	}
 }
+
+// versionRow returns the row of a version of the configuration.
+func versionRow(revision, version int64) table.Row {
+	return table.Row{Key: "config", Revision: revision, Value: fmt.Append(nil, version)}
+}
+
+// newTestConfiguration returns the configuration of a host that has just started.
+func newTestConfiguration() *configuration {
+	c := &configuration{log: logr.Discard()}
+	c.decode = func(rows []table.Row) (*catalog.Config, error) {
+		var version int64
+		_, err := fmt.Sscan(string(rows[0].Value), &version)
+		return catalog.NewConfig(version, nil, nil, catalog.Limits{}), err
+	}
+	c.replica.OnChange = c.apply
+	c.settlement.begin(0, 0)
+	return c
+}
+
+// read applies a read of the whole table.
+func (c *configuration) read(generation, version int64, age time.Duration) {
+	page := table.Page{Rows: []table.Row{versionRow(1, version)}, Position: table.Position{Generation: generation, Revision: 5}}
+	c.replica.ApplyPage(page, true, clock.SinceBoot()-age)
+}
+
+// Guards against a key that is in use although a version which the copy lacks has taken it away
+// (check CONFIG): on a host that had that version, on one that had not heard of it, and on one that
+// starts. Versions 7 and 12 are the one in the copy and the one that was lost.
+func TestVersionThatTheCopyLacks(t *testing.T) {
+	const seen = 800 * time.Millisecond // age of the last confirmation before the drill
+	settled := func(c *configuration) { c.settlement.settle(2) }
+	for name, form := range map[string]struct {
+		before  int64 // version in force in generation 1; 0: the host starts in generation 2
+		learn   func(c *configuration)
+		version int64
+		// confirmed reports that the confirmation of generation 2 counts, old that only the one
+		// before does.
+		confirmed, old bool
+	}{
+		"had the lost version":                         {12, settled, 12, true, false},
+		"had the lost version, nobody has told it":     {12, func(*configuration) {}, 12, false, true},
+		"never had it, nobody has told it":             {7, func(*configuration) {}, 7, false, true},
+		"never had it, the coordinator neither":        {7, settled, 7, true, false},
+		"never had it, and hears that there is one":    {7, func(c *configuration) { c.require(12); settled(c) }, 7, false, true},
+		"never had it, and gets it":                    {7, func(c *configuration) { c.require(12); c.adopt(versionRow(0, 12)); settled(c) }, 12, true, false},
+		"never had it, and it is written again":        {7, func(c *configuration) { c.require(12); settled(c); c.read(2, 12, 0) }, 12, true, false},
+		"starts, nobody has told it":                   {0, func(*configuration) {}, 7, false, false},
+		"starts, and the lease row is of before":       {0, func(c *configuration) { c.settlement.settle(1) }, 7, true, false},
+		"starts, and the lease row names the lost one": {0, func(c *configuration) { c.require(12); c.settlement.settleStart() }, 7, false, false},
+		"starts, and gets the lost version":            {0, func(c *configuration) { c.require(12); settled(c); c.adopt(versionRow(0, 12)) }, 12, true, false},
+		"a second drill before the first is settled":   {7, func(c *configuration) { c.read(3, 7, 0); settled(c) }, 7, false, true},
+		"a late word of the generation before":         {7, func(c *configuration) { c.settlement.settle(1) }, 7, false, true},
+	} {
+		c := newTestConfiguration()
+		if form.before != 0 {
+			c.settlement.settleStart()
+			c.read(1, form.before, seen)
+		}
+		c.read(2, 7, 0)
+		form.learn(c)
+		snapshot := c.snapshot()
+		if snapshot.config.Version != form.version {
+			t.Errorf("%s: version %d in force", name, snapshot.config.Version)
+		}
+		confirmed := snapshot.age() < seen
+		old := !confirmed && snapshot.age() < 2*seen
+		if confirmed != form.confirmed || old != form.old {
+			t.Errorf("%s: confirmed %v, only before %v (%v ago)", name, confirmed, old, snapshot.age())
+		}
+	}
+}
+
+// Guards against a host that refuses keys for good because no coordinator tells it whether it has
+// the newest version.
+func TestGenerationCountsWithoutACoordinator(t *testing.T) {
+	c := newTestConfiguration()
+	c.settlement.settleStart()
+	c.read(1, 7, time.Hour)
+	c.read(2, 7, 0)
+	if c.age() < time.Hour {
+		t.Fatal("confirmed although nobody has said whether the version is the newest")
+	}
+	c.settlement.since -= maxUnsettled
+	if c.age() > time.Second {
+		t.Error("not confirmed without a coordinator")
+	}
+}
+
+// Guards against a coordinator that lacks a version that a host has, or that passes on one which
+// hosts find in the table.
+func TestCoordinatorCollectsTheNewestVersion(t *testing.T) {
+	known, lacking := newTestConfiguration(), newTestConfiguration()
+	for _, c := range []*configuration{known, lacking} {
+		c.settlement.settleStart()
+		c.read(1, 7, 0)
+	}
+	known.read(1, 12, 0)
+	if known.missing(7) != nil {
+		t.Error("a version of the table is passed on")
+	}
+	known.read(2, 7, 0)
+	lacking.read(2, 7, 0)
+	host, coordinating := &exchanger{config: known}, &exchanger{config: lacking, elector: &lease.Elector{}}
+	for round, wanted := range []bool{true, false, false} {
+		request, reply := &coordinator.ExchangeRequest{Generations: map[string]int64{}}, &coordinator.ExchangeReply{}
+		host.reportConfig(request)
+		coordinating.exchangeConfig(request, reply)
+		host.applyConfig(reply)
+		if reply.ConfigWanted != wanted || reply.ConfigVersion != 12 {
+			t.Errorf("round %d: wanted %v, newest %d", round, reply.ConfigWanted, reply.ConfigVersion)
+		}
+	}
+	late, reply := &coordinator.ExchangeRequest{Generations: map[string]int64{}, ConfigVersion: 7}, &coordinator.ExchangeReply{}
+	coordinating.exchangeConfig(late, reply)
+	if lacking.version() != 12 || reply.Config == nil || reply.SettledGeneration != 0 {
+		t.Errorf("the coordinator has version %d, passes on %v, settled for generation %d without the lease", lacking.version(), reply.Config, reply.SettledGeneration)
+	}
+}
