Table service of serve: a revision keeps its generation, and so do fences

Change: the contract of platform.Table says that revisions stay unique and rise across restores, with the generation in the bits above GenerationBits, from which rows keep their revisions; the stand-in goes back that way, also by POST /sim/backup and /sim/restore of arbutusctl standin platform.

--- a/internal/ctl/standin_platform.go
+++ b/internal/ctl/standin_platform.go
@@ -28,7 +28,9 @@
 All data is in memory and lost at the end. --hosts names a file with the host
 list, a JSON array (comments allowed) of {"address", "kind", "service",
 "data_center", "state"}. While the stand-in runs, PUT /sim/hosts replaces the
-list, PUT /sim/faults the faults, and GET /sim/stats counts calls.`,
+list, PUT /sim/faults the faults, and GET /sim/stats counts calls. POST /sim/backup
+keeps a copy of the rows, and POST /sim/restore goes back to it, as a service does
+that has lost its newest commits.`,
 		Example: "  arbutusctl standin platform --listen 127.0.0.1:7000 --hosts examples/hosts.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,11 @@
 	Revision uint64 `json:"revision"`
 }
 
+// GenerationBits is the number of low bits of a revision that count commits. The bits
+// above count how often the service has come back from an older copy, from which rows keep
+// their revisions: what it has lost shares no revision with what is written afterwards.
+const GenerationBits = 40
+
 // Condition is a precondition of a commit: the current revision of the row must
 // equal Revision. Revision 0 requires the row to be absent.
 type Condition struct {
@@ -39,7 +44,9 @@
 	Range(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies all writes atomically if all conditions hold. The
 	// revision returned is unique and greater than that of any earlier
-	// commit. It returns *ConflictError when a condition failed,
+	// commit, also of one that the service has lost because it came back
+	// from an older copy (see GenerationBits): conditions and fencing
+	// tokens rely on it. It returns *ConflictError when a condition failed,
 	// *UnavailableError when nothing was written, and *UnknownOutcomeError
 	// when the writes may or may not have taken effect.
 	Commit(ctx context.Context, conditions []Condition, writes []Write) (uint64, error)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -48,12 +49,19 @@
 	entries []platform.HostEntry
 }
 
+// Copy is the content of the table service at one moment.
+type Copy struct {
+	rows    map[string]platform.Row
+	commits uint64 // low bits of the newest revision
+}
+
 // Server is the HTTP handler of the stand-in. It is safe for concurrent use.
 type Server struct {
 	router *httprouter.Router
 
 	mu        sync.Mutex
 	rows      map[string]platform.Row
+	backup    Copy // to which a call of the control API restores
 	objects   map[string][]byte
 	hostLists []hostListVersion
 	revision  uint64
@@ -80,6 +88,8 @@
 	s.router.PUT("/sim/hosts", s.putHosts)
 	s.router.PUT("/sim/faults", s.putFaults)
 	s.router.GET("/sim/stats", s.getStats)
+	s.router.POST("/sim/backup", s.postBackup)
+	s.router.POST("/sim/restore", s.postRestore)
 	return s
 }
 
@@ -103,6 +113,33 @@
 	return s.faults
 }
 
+// Backup returns a copy of the table service.
+func (s *Server) Backup() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backupLocked()
+}
+
+func (s *Server) backupLocked() Copy {
+	return Copy{rows: maps.Clone(s.rows), commits: s.revision & (1<<platform.GenerationBits - 1)}
+}
+
+// Restore takes the table service back to a copy: what was committed since is lost, and the
+// commits are counted from there, in the next generation.
+func (s *Server) Restore(from Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoreLocked(from)
+}
+
+func (s *Server) restoreLocked(from Copy) {
+	generation := s.revision>>platform.GenerationBits + 1
+	s.rows, s.revision = maps.Clone(from.rows), generation<<platform.GenerationBits|from.commits
+	if s.rows == nil {
+		s.rows = map[string]platform.Row{}
+	}
+}
+
 // SetHosts replaces the host list. Readers see the new list after Faults.ListLagMS.
 func (s *Server) SetHosts(entries []platform.HostEntry) {
 	s.mu.Lock()
@@ -296,6 +333,18 @@
 	}
 }
 
+func (s *Server) postBackup(http.ResponseWriter, *http.Request, httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup = s.backupLocked()
+}
+
+func (s *Server) postRestore(http.ResponseWriter, *http.Request, httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoreLocked(s.backup)
+}
+
 func (s *Server) getStats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	encode(w, http.StatusOK, s.Stats())
 }
