--- a/tests/crashes/process_test.go
+++ b/tests/crashes/process_test.go
@@ -48,6 +48,7 @@
 	mu          sync.Mutex
 	command     *exec.Cmd
 	ended       chan struct{}
+	binary      string    // path of the program
 	disturbedAt time.Time // end of the last disturbance
 	disturbing  bool
 }
@@ -60,28 +61,25 @@
 	hosts   []*host
 	engines []*platformtest.Worker
 	callers *http.Client
+	// keyBound is the time after which a key that was taken away is refused; 0: none.
+	keyBound time.Duration
 }
 
 // newFleet starts hosts and engines that a segment of prompts crashes.
 func newFleet(t *testing.T, hosts, engines int, crashSegment string, onCrash func()) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: platformtest.NewStore(), callers: &http.Client{Timeout: 8 * time.Second}}
+	f.start(hosts, engines, crashSegment, onCrash)
+	return f
+}
+
+func (f *fleet) start(hosts, engines int, crashSegment string, onCrash func()) {
+	t := f.t
+	t.Helper()
 	t.Cleanup(f.store.Close)
 	f.store.Set(lease.Table, lease.MarkerKey(1), struct{}{}) // hosts have held the lease before
 	f.reader = platform.NewStore(f.store.Address())
-	f.store.Set("op", "config", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": "seed.example", "prefix": "/chat/", "kind": "streaming", "timeoutMs": 6000, "sloMs": 500, "priority": 1,
-			"service": "llm", "attempts": 1, "public": false, "gapTargetMs": 250,
-		}},
-		"services": []any{map[string]any{"name": "llm", "maxConns": 200, "engine": map[string]any{
-			"slots": 64, "kvCapacity": 900000, "weightsMb": 200000, "adapterSlots": 4, "loadsPerS": 6,
-			"models": []any{map[string]any{"name": "m1", "weightsMb": 30000, "loadS": 0.1, "adapters": 0, "adapterMb": 40, "warmS": 0.05, "diskS": 0.05}},
-		}}},
-		"limits":  map[string]any{"bodyBytes": 4096},
-		"tenants": []any{map[string]any{"name": "curators", "apiKeys": []string{apiKey}, "unit": "token_stream", "plainTokens": 200}},
-	})
+	f.writeConfig(1, []string{"m1"}, apiKey)
 	for i := range engines {
 		engine := platformtest.NewWorker(fmt.Sprintf("engine-%d", i), "llm", "m1")
 		t.Cleanup(engine.Close)
@@ -100,16 +98,35 @@
 	for _, h := range f.hosts {
 		h.awaitReady()
 	}
-	return f
+}
+
+// writeConfig writes a version of the configuration with models and the keys of the workspace.
+func (f *fleet) writeConfig(version int, models []string, keys ...string) {
+	list := []any{}
+	for _, name := range models {
+		list = append(list, map[string]any{"name": name, "weightsMb": 30000, "loadS": 0.1, "adapters": 0, "adapterMb": 40, "warmS": 0.05, "diskS": 0.05})
+	}
+	f.store.Set("op", "config", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "chat", "host": "seed.example", "prefix": "/chat/", "kind": "streaming", "timeoutMs": 6000, "sloMs": 500, "priority": 1,
+			"service": "llm", "attempts": 1, "public": false, "gapTargetMs": 250,
+		}},
+		"services": []any{map[string]any{"name": "llm", "maxConns": 200, "engine": map[string]any{
+			"slots": 64, "kvCapacity": 900000, "weightsMb": 200000, "adapterSlots": 4, "loadsPerS": 6, "models": list,
+		}}},
+		"limits":  map[string]any{"bodyBytes": 4096},
+		"tenants": []any{map[string]any{"name": "curators", "apiKeys": keys, "unit": "token_stream", "plainTokens": 200}},
+	})
 }
 
 func (f *fleet) addHost(name string) {
 	f.t.Helper()
 	ip := nextLoopback()
-	h := &host{fleet: f, name: name, directory: f.t.TempDir(), address: freeAddress(f.t, ip), ready: freeAddress(f.t, ip), store: newLink(f.t, f.store.Address())}
+	h := &host{fleet: f, binary: binary, name: name, directory: f.t.TempDir(), address: freeAddress(f.t, ip), ready: freeAddress(f.t, ip), store: newLink(f.t, f.store.Address())}
 	settings, err := json.Marshal(map[string]any{
 		"host": name, "data_center": "z1", "listen": h.address, "ready_listen": h.ready, "peer_listen": freeAddress(f.t, ip),
-		"platform": h.store.address(), "shutdown_timeout_s": shutdownTimeout.Seconds(),
+		"platform": h.store.address(), "shutdown_timeout_s": shutdownTimeout.Seconds(), "key_confirmation_ms": f.keyBound.Milliseconds(),
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -117,6 +134,9 @@
 	if err := os.WriteFile(h.settings(), settings, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
+	if *otherBinary != "" && len(f.hosts)%2 == 1 {
+		h.binary = *otherBinary
+	}
 	h.start()
 	f.t.Cleanup(h.kill)
 	f.hosts = append(f.hosts, h)
@@ -174,7 +194,7 @@
 		return
 	}
 	defer log.Close()
-	command, ended := exec.Command(binary, "gateway", h.settings()), make(chan struct{})
+	command, ended := exec.Command(h.binary, "gateway", h.settings()), make(chan struct{})
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/tests/crashes/soak_test.go
+++ b/tests/crashes/soak_test.go
@@ -259,7 +259,7 @@
 		}
 		group.Go(func() {
 			defer h.endDisturbance()
-			s.t.Logf("%s: %s for %v", h.name, []string{"killed", "stopped", "suspended", "cut off from the store"}[kind], lasts)
+			s.t.Logf("%s: %s for %v", h.name, disturbances[kind], lasts)
 			h.disturb(kind, lasts)
 		})
 		time.Sleep(pause)
@@ -283,6 +283,9 @@
 	h.disturbing, h.disturbedAt = false, time.Now()
 }
 
+// disturbances are the kinds of disturb.
+var disturbances = [...]string{"killed", "stopped", "suspended", "cut off from the store"}
+
 func (h *host) disturb(kind int, lasts time.Duration) {
 	switch kind {
 	case 0:
