--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -51,10 +51,16 @@
 
 // State is the state dump of a host.
 type State struct {
-	Host               string       `json:"host"`
-	Ready              bool         `json:"ready"`
-	ConfigVersion      int64        `json:"config_version"`
-	ConfigAgeMS        int64        `json:"config_age_ms"`
+	Host          string `json:"host"`
+	Ready         bool   `json:"ready"`
+	ConfigVersion int64  `json:"config_version"`
+	ConfigAgeMS   int64  `json:"config_age_ms"`
+	// ConfigNewestKnown is the newest version of the configuration that any host is known to have.
+	ConfigNewestKnown int64 `json:"config_newest_known"`
+	// TableGeneration is the generation of the table service; GenerationPending reports that
+	// its confirmations don't count yet.
+	TableGeneration    int64        `json:"table_generation"`
+	GenerationPending  bool         `json:"generation_pending"`
 	Lease              lease.Status `json:"lease"`
 	CoordinatorReached bool         `json:"coordinator_reached"`
 	InFlight           int64        `json:"requests_in_flight"`
@@ -84,6 +90,7 @@
 	epoch, version := g.registry.ViewVersion()
 	return State{
 		Host: g.settings.Host, Ready: g.Ready(), ConfigVersion: g.config.version(), ConfigAgeMS: g.config.age().Milliseconds(),
+		ConfigNewestKnown: g.config.newestKnown(), TableGeneration: g.config.replica.Position().Generation, GenerationPending: g.config.settlement.isPending(),
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
--- a/internal/gateway/settlement.go
+++ b/internal/gateway/settlement.go
@@ -54,12 +54,21 @@
 func (s *settlement) limit(confirmedAt time.Duration, generation int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.pending || generation == 0 || clock.SinceBoot()-s.since > maxUnsettled {
+	if generation == 0 || !s.isPendingLocked() {
 		return confirmedAt
 	}
 	return s.confirmedAt
 }
 
+// isPending reports whether a generation does not count yet.
+func (s *settlement) isPending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isPendingLocked()
+}
+
+func (s *settlement) isPendingLocked() bool { return s.pending && clock.SinceBoot()-s.since <= maxUnsettled }
+
 // before returns a confirmation, or the last one before the generation that is pending.
 func (s *settlement) before(confirmedAt time.Duration) time.Duration {
 	s.mu.Lock()
