Gateway: no confirmation of a generation that never counted

Cause, by reading: the host had heard of the lost version from the coordinator of the generation before, whose word ended its wait, though it was of another generation. At the second drill the last confirmation of the generation between was then taken for one that counted.

Change: what counts is kept as the newest generation that does, and a word counts for its own generation only; a confirmation that was frozen stays so.

Measured: the two new forms of TestVersionThatTheCopyLacks fail before (the second drill: confirmed 0 s ago), pass now.

--- a/internal/gateway/config_relay.go
+++ b/internal/gateway/config_relay.go
@@ -67,6 +67,6 @@
 func (e *exchanger) observeLease(observed lease.Observation) {
 	e.config.require(observed.Record.Config.Version)
 	if !observed.Restored && !observed.Record.Config.Unsettled {
-		e.config.settlement.settleStart()
+		e.config.settlement.settle(observed.Generation)
 	}
 }
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -103,7 +103,7 @@
 		}
 	}
 	if change.Full {
-		keepLost(now, known, next, change.NewGeneration)
+		keepLost(now, known, next, change.NewGeneration())
 	}
 	return e.replace(known, next)
 }
--- a/internal/gateway/fleet_state.go
+++ b/internal/gateway/fleet_state.go
@@ -40,8 +40,12 @@
 
 // apply applies a change of the operator's table. Versions never go back, even if the table does.
 func (c *configuration) apply(change table.Change) {
-	if change.NewGeneration {
-		c.settlement.begin(change.Generation, c.replica.PreviouslyConfirmedAt())
+	if change.NewGeneration() {
+		confirmedAt := c.replica.PreviouslyConfirmedAt()
+		if !c.complete() {
+			confirmedAt = min(confirmedAt, time.Duration(c.frozenAt.Load()))
+		}
+		c.settlement.begin(change.PreviousGeneration, confirmedAt)
 	}
 	if c.onRows != nil {
 		c.onRows(change)
@@ -60,7 +64,7 @@
 	case change.Full:
 		c.tableVersion = 0
 	}
-	if change.NewGeneration {
+	if change.NewGeneration() {
 		c.log.Info("Configuration table restored from an older copy.", "generation", change.Generation,
 			"table_version", c.tableVersion, "version", c.version())
 	}
@@ -175,11 +179,17 @@
 func (c *configuration) confirmedAt() time.Duration {
 	confirmation := c.replica.Confirmation()
 	if !c.complete() {
-		return c.settlement.before(time.Duration(c.frozenAt.Load()))
+		return c.settlement.settled(time.Duration(c.frozenAt.Load()), confirmation.Generation)
 	}
 	return c.settlement.limit(confirmation.At, confirmation.Generation)
 }
 
+// generationPending reports whether confirmations of the newest generation of the table service
+// don't count yet.
+func (c *configuration) generationPending() bool {
+	return c.settlement.isPending(c.replica.Position().Generation)
+}
+
 func (c *configuration) version() int64 {
 	if config := c.current.Load(); config != nil {
 		return config.Version
--- a/internal/gateway/generation_test.go
+++ b/internal/gateway/generation_test.go
@@ -97,7 +97,7 @@
 	} {
 		e := evacuations{bound: time.Second}
 		e.apply(time.Hour, decodeTestEvacuation, table.Change{Rows: z0, Full: true}, 0)
-		e.apply(time.Hour, decodeTestEvacuation, table.Change{Rows: form.copied, Full: true, NewGeneration: true}, 0)
+		e.apply(time.Hour, decodeTestEvacuation, table.Change{Rows: form.copied, Full: true, PreviousGeneration: 1}, 0)
 		e.apply(time.Hour, decodeTestEvacuation, table.Change{Rows: form.after}, 0)
 		atOnce := e.requested("z0")
 		e.expire(time.Hour + restoredGrace)
@@ -153,15 +153,17 @@
 		"never had it, and gets it":                    {7, func(c *configuration) { c.require(12); c.adopt(versionRow(0, 12)); settled(c) }, 12, true, false},
 		"never had it, and it is written again":        {7, func(c *configuration) { c.require(12); settled(c); c.read(2, 12, 0) }, 12, true, false},
 		"starts, nobody has told it":                   {0, func(*configuration) {}, 7, false, false},
-		"starts, and the lease row is of before":       {0, func(c *configuration) { c.settlement.settle(1) }, 7, true, false},
-		"starts, and the lease row names the lost one": {0, func(c *configuration) { c.require(12); c.settlement.settleStart() }, 7, false, false},
+		"starts, and the lease row is of before":       {0, func(c *configuration) { c.settlement.settle(1) }, 7, false, false},
+		"starts, and the lease row names the lost one": {0, func(c *configuration) { c.require(12); settled(c) }, 7, false, false},
 		"starts, and gets the lost version":            {0, func(c *configuration) { c.require(12); settled(c); c.adopt(versionRow(0, 12)) }, 12, true, false},
 		"a second drill before the first is settled":   {7, func(c *configuration) { c.read(3, 7, 0); settled(c) }, 7, false, true},
+		"heard of it, then a second drill":             {7, func(c *configuration) { c.require(12); settled(c); c.read(3, 7, 0) }, 7, false, true},
+		"starts, hears of it, then a second drill":     {0, func(c *configuration) { c.settlement.settle(1); c.require(12); c.read(3, 7, 0) }, 7, false, false},
 		"a late word of the generation before":         {7, func(c *configuration) { c.settlement.settle(1) }, 7, false, true},
 	} {
 		c := newTestConfiguration()
 		if form.before != 0 {
-			c.settlement.settleStart()
+			c.settlement.settle(1)
 			c.read(1, form.before, seen)
 		}
 		c.read(2, 7, 0)
@@ -182,7 +184,7 @@
 // the newest version.
 func TestGenerationCountsWithoutACoordinator(t *testing.T) {
 	c := newTestConfiguration()
-	c.settlement.settleStart()
+	c.settlement.settle(1)
 	c.read(1, 7, time.Hour)
 	c.read(2, 7, 0)
 	if c.age() < time.Hour {
@@ -199,7 +201,7 @@
 func TestCoordinatorCollectsTheNewestVersion(t *testing.T) {
 	known, lacking := newTestConfiguration(), newTestConfiguration()
 	for _, c := range []*configuration{known, lacking} {
-		c.settlement.settleStart()
+		c.settlement.settle(1)
 		c.read(1, 7, 0)
 	}
 	known.read(1, 12, 0)
--- a/internal/gateway/internal_servers.go
+++ b/internal/gateway/internal_servers.go
@@ -90,7 +90,7 @@
 	epoch, version := g.registry.ViewVersion()
 	return State{
 		Host: g.settings.Host, Ready: g.Ready(), ConfigVersion: g.config.version(), ConfigAgeMS: g.config.age().Milliseconds(),
-		ConfigNewestKnown: g.config.newestKnown(), TableGeneration: g.config.replica.Position().Generation, GenerationPending: g.config.settlement.isPending(),
+		ConfigNewestKnown: g.config.newestKnown(), TableGeneration: g.config.replica.Position().Generation, GenerationPending: g.config.generationPending(),
 		Lease: g.elector.Status(), CoordinatorReached: g.exchanger.Reached(), InFlight: g.inFlight.Load(),
 		ViewEpoch: epoch, ViewVersion: version, Upstreams: len(g.registry.Upstreams()),
 		Hosts: g.exchanger.hostCount.Load(), Quarantines: g.exchanger.quarantine.dump(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -111,7 +111,7 @@
 		gauge("gateway_config_version", "Version of the configuration in force.", func() float64 { return float64(g.config.version()) }),
 		gauge("gateway_config_age_seconds", "Time since the configuration was confirmed.", func() float64 { return g.config.age().Seconds() }),
 		gauge("gateway_table_generation", "How often the table service has come back from an older copy, as it states; 0: it states none.", func() float64 { return float64(g.config.replica.Position().Generation) }),
-		gauge("gateway_generation_pending", "1 while confirmations of the newest generation of the table service don't count.", func() float64 { return boolGauge(g.config.settlement.isPending()) }),
+		gauge("gateway_generation_pending", "1 while confirmations of the newest generation of the table service don't count.", func() float64 { return boolGauge(g.config.generationPending()) }),
 		gauge("gateway_coordinator", "1 if this host coordinates the fleet.", func() float64 { return boolGauge(g.elector.Held()) }),
 		gauge("gateway_coordinator_reached", "1 if the coordinator answers this host.", func() float64 { return boolGauge(g.exchanger.Reached()) }),
 		gauge("gateway_ready", "1 if the host reports ready.", func() float64 { return boolGauge(g.Ready()) }),
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -118,7 +118,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if change.NewGeneration {
+	if change.NewGeneration() {
 		r.beginGeneration(now, change)
 	}
 	present := map[string]bool{}
--- a/internal/gateway/settlement.go
+++ b/internal/gateway/settlement.go
@@ -22,58 +22,49 @@
 // and the last confirmation before counts until then. It is safe for concurrent use.
 type settlement struct {
 	mu          sync.Mutex
-	pending     bool
-	generation  int64         // that is pending; 0: the first one of this process, not known yet
-	since       time.Duration // when this host learned of it, on the boot clock
-	confirmedAt time.Duration // last confirmation in a generation that counts; 0: none
+	counts      int64         // newest generation that counts
+	since       time.Duration // when this host learned of the newest generation, on the boot clock
+	confirmedAt time.Duration // last confirmation in a generation that counted; 0: none
 }
 
-// begin starts to wait for a generation. confirmedAt is the last confirmation before it.
-func (s *settlement) begin(generation int64, confirmedAt time.Duration) {
+// begin starts to wait for a generation. The one before was last confirmed at confirmedAt; 0: there
+// was none.
+func (s *settlement) begin(before int64, confirmedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.pending {
+	if before <= s.counts {
 		s.confirmedAt = confirmedAt
 	}
-	s.pending, s.generation, s.since = true, generation, clock.SinceBoot()
+	s.since = clock.SinceBoot()
 }
 
-// settle records that a generation counts; 0: the first one of this process.
+// settle records that a generation, and those before, count.
 func (s *settlement) settle(generation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.generation == 0 || s.generation == generation {
-		s.pending = false
-	}
+	s.counts = max(s.counts, generation)
 }
 
-// settleStart records that the first generation of this process counts.
-func (s *settlement) settleStart() { s.settle(0) }
-
-// limit returns the confirmation that counts, given the latest one.
-func (s *settlement) limit(confirmedAt time.Duration, generation int64) time.Duration {
+// isPending reports whether the newest generation does not count yet.
+func (s *settlement) isPending(generation int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if generation == 0 || !s.isPendingLocked() {
-		return confirmedAt
-	}
-	return s.confirmedAt
+	return generation > s.counts && clock.SinceBoot()-s.since <= maxUnsettled
 }
 
-// isPending reports whether a generation does not count yet.
-func (s *settlement) isPending() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isPendingLocked()
+// limit returns the confirmation that counts, given the latest one, of the newest generation.
+func (s *settlement) limit(confirmedAt time.Duration, generation int64) time.Duration {
+	if !s.isPending(generation) {
+		return confirmedAt
+	}
+	return s.settled(confirmedAt, generation)
 }
 
-func (s *settlement) isPendingLocked() bool { return s.pending && clock.SinceBoot()-s.since <= maxUnsettled }
-
-// before returns a confirmation, or the last one before the generation that is pending.
-func (s *settlement) before(confirmedAt time.Duration) time.Duration {
+// settled returns a confirmation of a generation that counts without a time limit.
+func (s *settlement) settled(confirmedAt time.Duration, generation int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pending {
+	if generation > s.counts {
 		return s.confirmedAt
 	}
 	return confirmedAt
--- a/internal/lease/claim.go
+++ b/internal/lease/claim.go
@@ -90,12 +90,12 @@
 		e.Log.Info("Lease claim failed.", "epoch", record.Epoch, "last_holder", last.Record.Holder, "error", err.Error())
 		return
 	}
+	e.extend(record, written, start)
 	e.mu.Lock()
 	e.ordersFrom = e.Terms.OrdersFrom(last, e.Host, start)
 	e.held = true
 	wait := e.ordersFrom - start
 	e.mu.Unlock()
-	e.extend(record, written, start)
 	e.Log.Info("Lease taken.", "epoch", record.Epoch, "revision", written.Revision, "generation", written.Generation,
 		"last_holder", last.Record.Holder, "restored", last.Restored,
 		"last_seen_ms", (start - last.Since).Milliseconds(), "orders_in_ms", wait.Milliseconds())
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -36,18 +36,20 @@
 
 // Change is what a replica passes on to its owner.
 type Change struct {
-	Rows []Row // the changed rows, or the whole table if Full is set
-	Full bool
-	// NewGeneration reports that the content before was of an earlier generation. What is
-	// missing now may have been lost rather than removed, and what is there again may be
-	// outdated.
-	NewGeneration bool
-	Generation    int64
+	Rows       []Row // the changed rows, or the whole table if Full is set
+	Full       bool
+	Generation int64
+	// PreviousGeneration is that of the content before, if it was an earlier one; 0: it was not.
+	PreviousGeneration int64
 	// RestoredUpTo is the highest revision of the rows that may stem from the copy from which
 	// the service came back; 0: there are none. Rows with a higher one were written since.
 	RestoredUpTo int64
 }
 
+// NewGeneration reports whether the content before was of an earlier generation. What is missing
+// now may have been lost rather than removed, and what is there again may be outdated.
+func (c Change) NewGeneration() bool { return c.PreviousGeneration != 0 }
+
 // Replica is a host's copy of a table. It is updated from the table service or from another
 // host's replica, and records when its content was last confirmed. It is a copy of the
 // content of one generation; content of a later one replaces it as a whole. It is safe for
@@ -233,7 +235,10 @@
 
 // apply applies a page of the content's generation, or the whole table in a later one.
 func (r *Replica) apply(page Page, full bool, confirmed time.Duration, restoredUpTo int64) {
-	newGeneration := r.isNewGeneration(page.Position)
+	previousGeneration := int64(0)
+	if r.isNewGeneration(page.Position) {
+		previousGeneration = r.position.Generation
+	}
 	replaced := !r.loaded || page.Generation != r.position.Generation
 	if full && !replaced && page.Revision < r.position.Revision {
 		if page.Revision < r.droppedUpTo {
@@ -258,7 +263,7 @@
 	}
 	if r.OnChange != nil && (full || len(changed) > 0) {
 		r.OnChange(Change{
-			Rows: changed, Full: full, NewGeneration: newGeneration, Generation: page.Generation, RestoredUpTo: restoredUpTo,
+			Rows: changed, Full: full, Generation: page.Generation, PreviousGeneration: previousGeneration, RestoredUpTo: restoredUpTo,
 		})
 	}
 }
