--- a/tests/crashes/process_test.go
+++ b/tests/crashes/process_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -120,12 +121,26 @@
 	})
 }
 
+// logDirectory is kept with the settings and logs of all hosts.
+var logDirectory = flag.String("log-dir", "", "folder to keep the hosts' logs in; default: they are not kept")
+
+func (f *fleet) hostDirectory(name string) string {
+	if *logDirectory == "" {
+		return f.t.TempDir()
+	}
+	directory := filepath.Join(*logDirectory, filepath.Base(f.t.Name()), name)
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		f.t.Fatal(err)
+	}
+	return directory
+}
+
 func (f *fleet) addHost(name string) {
 	f.t.Helper()
-	ip := nextLoopback()
-	h := &host{fleet: f, binary: binary, name: name, directory: f.t.TempDir(), address: freeAddress(f.t, ip), ready: freeAddress(f.t, ip), store: newLink(f.t, f.store.Address())}
+	addresses := freeAddresses(f.t, nextLoopback(), 3)
+	h := &host{fleet: f, binary: binary, name: name, directory: f.hostDirectory(name), address: addresses[0], ready: addresses[1], store: newLink(f.t, f.store.Address())}
 	settings, err := json.Marshal(map[string]any{
-		"host": name, "data_center": "z1", "listen": h.address, "ready_listen": h.ready, "peer_listen": freeAddress(f.t, ip),
+		"host": name, "data_center": "z1", "listen": h.address, "ready_listen": h.ready, "peer_listen": addresses[2],
 		"platform": h.store.address(), "shutdown_timeout_s": shutdownTimeout.Seconds(), "key_confirmation_ms": f.keyBound.Milliseconds(),
 	})
 	if err != nil {
@@ -152,15 +167,20 @@
 	return net.IPv4(127, byte(64+pid>>8&63), byte(pid), byte(1+n%254)).String()
 }
 
-// freeAddress returns an address at a loopback IP that nobody listens at.
-func freeAddress(t *testing.T, ip string) string {
+// freeAddresses returns different addresses at a loopback IP that nobody listens at. They are
+// chosen together: the system may choose a port again as soon as it is free.
+func freeAddresses(t *testing.T, ip string, n int) []string {
 	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses
 }
 
 // coordinator returns the host that holds the lease; nil: none.
